--- /dev/null
+++ b/drill/src/lib.rs
@@ -0,0 +1,10 @@
+//! The simulator's side of finchvale: frames, JSON settings and a table of instances.
+//!
+//! Nothing here decides anything; each instance owns a [`finchvale::Balancer`] and shares nothing.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+pub mod host;
+pub mod settings;
+pub mod wire;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,433 @@
+//! What the decision module remembers: plain data, no decisions.
+
+use crate::interface::*;
+use crate::logic::{placed, PART_WINDOW, RATE_WINDOW, REPORT_LIFE, RETRY_MOST, TENANT_WINDOW};
+use rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// A rate that forgets with time.
+pub(crate) struct Rate {
+    count: f64,
+    began: Time,
+    at: Time,
+    window: f64,
+}
+
+impl Rate {
+    pub(crate) fn new(now: Time, window: f64) -> Self {
+        Rate { count: 0.0, began: now, at: now, window }
+    }
+
+    /// The same for a rate that is still young.
+    pub(crate) fn young(&mut self, now: Time) -> f64 {
+        let rate = self.add(now, 0.0);
+        let seen = (now - self.began).as_secs_f64().max(1.0) / self.window;
+        rate / (1.0 - (-seen).exp())
+    }
+
+    /// Counts `amount` and returns the rate a second.
+    pub(crate) fn add(&mut self, now: Time, amount: f64) -> f64 {
+        self.count = self.count * (-(now - self.at).as_secs_f64() / self.window).exp() + amount;
+        self.at = now;
+        self.count / self.window
+    }
+}
+
+pub(crate) struct Server {
+    pub id: ServerId,
+    /// Place in this node's own order of servers.
+    pub rank: u64,
+    pub zone: ZoneId,
+    pub kind: KindId,
+    pub cell: CellId,
+    pub state: ServerState,
+    pub weight: f64,
+    pub started: Option<Time>,
+    /// Price over the number of ready servers.
+    pub price: f64,
+    /// Prices are stepped up to here.
+    pub stepped: Time,
+    /// Load by the latest report.
+    pub load: Option<f64>,
+    /// When that report came.
+    pub reported: Time,
+    /// Requests a second by that report.
+    pub rate: f64,
+    /// Smoothed capacity in requests a second, or inverse latency where no rates are reported.
+    pub speed: f64,
+    /// Samples that `speed` rests on.
+    pub evidence: f64,
+    /// When the last of them came.
+    pub answered: Time,
+    /// Part of this node's sends that went there of late, up to a factor.
+    pub share: f64,
+    /// When this node last had a connection to it.
+    pub connected: Option<Time>,
+    /// Send times of the attempts that are out.
+    pub out: Vec<Time>,
+}
+
+impl Server {
+    pub(crate) fn new(entry: &ServerEntry, salt: u64, price: f64, now: Time) -> Self {
+        Server {
+            id: entry.server,
+            rank: Xoshiro256PlusPlus::seed_from_u64(salt ^ u64::from(entry.server.0)).next_u64(),
+            zone: entry.zone,
+            kind: entry.kind,
+            cell: entry.cell,
+            state: entry.state,
+            weight: if entry.weight.is_finite() && entry.weight > 0.0 { entry.weight } else { 1.0 },
+            started: entry.started,
+            price,
+            stepped: now,
+            load: None,
+            reported: now,
+            rate: 0.0,
+            speed: 0.0,
+            evidence: 0.0,
+            answered: now,
+            share: 0.0,
+            connected: None,
+            out: Vec::new(),
+        }
+    }
+
+    /// Part of its capacity that it surely has by now.
+    pub(crate) fn warmth(&self, rules: &Rules, now: Time) -> f64 {
+        let Some(started) = self.started else { return 1.0 };
+        let age = (now - started).as_secs_f64() / rules.warm_up.as_secs_f64().max(1e-9);
+        (rules.cold_from + (1.0 - rules.cold_from) * age).min(1.0)
+    }
+
+    /// Whether a connection is surely open still.
+    pub(crate) fn connected(&self, now: Time, idle: Duration) -> bool {
+        self.connected.is_some_and(|at| now < at + idle)
+    }
+
+    pub(crate) fn learn(&mut self, now: Time, sample: f64, memory: f64) {
+        self.evidence = (self.evidence + 1.0).min(memory);
+        self.speed += (sample - self.speed) / self.evidence;
+        self.answered = now;
+    }
+}
+
+/// Mean requests held and busy part of servers that are not saturated.
+#[derive(Default)]
+pub(crate) struct UsualHeld {
+    held: f64,
+    busy: f64,
+}
+
+impl UsualHeld {
+    pub(crate) fn learn(&mut self, usual: bool, held: f64, busy: f64) {
+        if usual {
+            self.held += (held - self.held) / 64.0;
+            self.busy += (busy - self.busy) / 64.0;
+        }
+    }
+
+    /// The busy part that usually goes with so many held.
+    pub(crate) fn load(&self, held: f64) -> f64 {
+        held * self.busy / self.held.max(1.0)
+    }
+}
+
+pub(crate) struct Attempt {
+    pub server: ServerId,
+    pub zone: ZoneId,
+    pub cell: CellId,
+    pub sent: Time,
+    pub ended: bool,
+    pub may_have_run: bool,
+    /// It needed a new connection.
+    pub fresh: bool,
+}
+
+impl Attempt {
+    /// Whether it may have run, or may yet.
+    pub(crate) fn risky(&self) -> bool {
+        !self.ended || self.may_have_run
+    }
+}
+
+pub(crate) struct Request {
+    pub class: ClassId,
+    pub arrived: Time,
+    pub ends: Time,
+    pub work: Option<f64>,
+    /// A final answer is owed.
+    pub open: bool,
+    /// A streamed answer has begun.
+    pub begun: bool,
+    pub attempts: Vec<Attempt>,
+    /// Servers probed for it, with the load each has answered.
+    pub asked: Vec<(ServerId, Option<f64>)>,
+}
+
+impl Request {
+    pub(crate) fn idle(&self) -> bool {
+        self.attempts.iter().all(|a| a.ended)
+    }
+}
+
+/// What the share solution needs of a server: `most` bounds its share.
+pub(crate) struct Line {
+    pub price: f64,
+    pub speed: f64,
+    pub most: f64,
+}
+
+/// What a node keeps for each class: it draws from shares over the servers open to the class.
+pub(crate) struct Market {
+    /// Shares of the ready servers, of sum at most `open`; 0 where the class may not go.
+    pub shares: Vec<f64>,
+    /// Ready servers open to the class.
+    pub open: f64,
+    pub lambda: f64,
+    /// When that was last moved.
+    pub weighed: Time,
+    /// Mean work of a request.
+    pub work: f64,
+    /// Part of the arrivals that is shed for the load of these servers.
+    pub refused: f64,
+    /// Worth below which arrivals are turned away, in part; kept like `worths`.
+    pub toll: f64,
+    /// Worths of recent arrivals, kept for all classes of one placement by the first of them.
+    pub worths: VecDeque<f64>,
+    /// The first class of the same placement.
+    pub leader: usize,
+    pub arrivals: Rate,
+    /// The same over a longer time.
+    pub steady: Rate,
+}
+
+impl Market {
+    fn new(now: Time, leader: usize) -> Self {
+        let (shares, worths, arrivals) = (Vec::new(), VecDeque::new(), Rate::new(now, RATE_WINDOW));
+        Market {
+            shares,
+            open: 0.0,
+            lambda: 0.5,
+            weighed: now,
+            work: 0.0,
+            refused: 0.0,
+            toll: 0.0,
+            worths,
+            leader,
+            arrivals,
+            steady: Rate::new(now, PART_WINDOW),
+        }
+    }
+
+    /// Keeps the mean work of a request: the hinted one or, without hints, the time of an answer.
+    pub(crate) fn learn_work(&mut self, sample: f64) {
+        self.work += (sample - self.work) * if self.work > 0.0 { 1.0 / 64.0 } else { 1.0 };
+    }
+
+    /// Keeps the worths of the last `most` arrivals.
+    pub(crate) fn note_worth(&mut self, worth: f64, most: usize) {
+        if self.worths.len() == most {
+            self.worths.pop_front();
+        }
+        self.worths.push_back(worth);
+    }
+}
+
+/// The balancer of one node.
+pub struct Balancer {
+    pub(crate) settings: Settings,
+    /// Sets this node's order of servers apart from other nodes'.
+    pub(crate) salt: u64,
+    pub(crate) rng: Xoshiro256PlusPlus,
+    pub(crate) servers: Vec<Server>,
+    pub(crate) index: FxHashMap<ServerId, usize>,
+    pub(crate) ready: Vec<usize>,
+    pub(crate) markets: Vec<Market>,
+    pub(crate) mean_price: f64,
+    pub(crate) going_price: f64,
+    pub(crate) mean_load: f64,
+    pub(crate) mean_speed: f64,
+    pub(crate) solved: Option<Time>,
+    pub(crate) requests: FxHashMap<RequestId, Request>,
+    pub(crate) choosing: Vec<(RequestId, TimerId)>,
+    pub(crate) next_timer: u32,
+    pub(crate) list_timer: Option<TimerId>,
+    pub(crate) latency: f64,
+    pub(crate) probe_latency: f64,
+    /// Part of the new connections that fail, of late.
+    pub(crate) refused: f64,
+    /// Seconds for which a report counts as news.
+    pub(crate) report_life: f64,
+    /// Mean requests held and busy part, of servers that are not saturated.
+    pub(crate) usual_held: UsualHeld,
+    /// Neither probes nor measured capacity tell how much the servers can still take.
+    pub(crate) blind: bool,
+    pub(crate) mean_work: f64,
+    pub(crate) sends: Rate,
+    pub(crate) part: f64,
+    pub(crate) began: Time,
+    pub(crate) further: f64,
+    pub(crate) tenants: Vec<Rate>,
+}
+
+impl Balancer {
+    /// Starts with no servers and no requests.
+    pub fn new(settings: Settings, seed: u64, now: Time) -> Result<Self, SettingsError> {
+        settings.check()?;
+        let aims = settings.classes.iter().map(|c| c.aim.as_secs_f64());
+        let same = |a: &Class, b: &Class| a.zones == b.zones && a.kinds == b.kinds;
+        let leader = |c: &Class| settings.classes.iter().position(|other| same(other, c)).unwrap_or(0);
+        Ok(Balancer {
+            salt: seed.rotate_left(32),
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            servers: Vec::new(),
+            index: FxHashMap::default(),
+            ready: Vec::new(),
+            markets: settings.classes.iter().map(|c| Market::new(now, leader(c))).collect(),
+            mean_price: 0.0,
+            going_price: 0.0,
+            mean_load: 0.0,
+            mean_speed: 1.0,
+            solved: None,
+            requests: FxHashMap::default(),
+            choosing: Vec::new(),
+            next_timer: 0,
+            list_timer: None,
+            latency: (aims.fold(f64::MAX, f64::min) / 2.0).max(1e-3),
+            probe_latency: 0.003,
+            refused: 0.0,
+            report_life: REPORT_LIFE,
+            usual_held: UsualHeld::default(),
+            blind: !settings.reports_rate && settings.reports != Reports::ByProbe,
+            mean_work: 0.0,
+            sends: Rate::new(now, RATE_WINDOW),
+            part: 1.0 / f64::from(settings.nodes),
+            began: now,
+            further: RETRY_MOST,
+            tenants: settings.tenants.iter().map(|_| Rate::new(now, TENANT_WINDOW)).collect(),
+            settings,
+        })
+    }
+
+    /// Brings the servers in line with a list or with changes to it.
+    pub(crate) fn take_list(&mut self, now: Time, kind: ListKind, entries: &[ServerEntry]) {
+        if kind != ListKind::Changes {
+            self.servers.iter_mut().for_each(|s| s.state = ServerState::Gone);
+        }
+        for e in entries {
+            let fresh = Server::new(e, self.salt, self.mean_price, now);
+            match self.index.get(&e.server) {
+                None => {
+                    self.index.insert(e.server, self.servers.len());
+                    self.servers.push(fresh);
+                }
+                Some(&i) => {
+                    // Of a restarted process nothing is known but what is still out; of others all stays.
+                    let s = &mut self.servers[i];
+                    if e.started > s.started {
+                        *s = Server { out: std::mem::take(&mut s.out), ..fresh };
+                    } else {
+                        (s.state, s.weight) = (e.state, fresh.weight);
+                        (s.zone, s.kind, s.cell) = (e.zone, e.kind, e.cell);
+                    }
+                }
+            }
+        }
+        self.servers.retain(|s| s.state != ServerState::Gone || !s.out.is_empty());
+        self.index = self.servers.iter().enumerate().map(|(i, s)| (s.id, i)).collect();
+        self.ready =
+            (0..self.servers.len()).filter(|&i| self.servers[i].state == ServerState::Ready).collect();
+        self.ready.sort_by_key(|&i| self.servers[i].rank);
+    }
+
+    /// Learns this node's part of all traffic from its own sends and the rates that servers report.
+    pub(crate) fn learn_part(&mut self, now: Time, dt: f64) {
+        let usual = self.mean_speed * self.mean_load.min(1.0);
+        let rates = self.ready.iter().map(|&i| self.servers[i].rate);
+        let taken: f64 = rates.map(|r| if r > 0.0 { r } else { usual }).sum();
+        let sent = self.sends.add(now, 0.0);
+        // Only while nothing is refused do sends and reported rates describe the same traffic.
+        if self.markets.iter().all(|m| m.toll == 0.0)
+            && taken > 0.0
+            && (now - self.began).as_secs_f64() > 4.0 * RATE_WINDOW
+        {
+            self.part += (sent / taken - self.part) * (dt / PART_WINDOW).min(1.0);
+        }
+    }
+
+    /// Ready servers open to each class, as positions in `ready`, in this node's order.
+    pub(crate) fn placed(&self) -> Vec<Vec<usize>> {
+        let open = |c| (0..self.ready.len()).filter(|&k| placed(c, &self.servers[self.ready[k]])).collect();
+        self.settings.classes.iter().map(open).collect()
+    }
+
+    /// Takes in that a streamed answer has begun, and says from where.
+    pub(crate) fn begun(&mut self, id: RequestId, attempt: u32) -> Option<ServerId> {
+        let r = self.requests.get_mut(&id)?;
+        let (server, sent) = r.attempts.get(attempt as usize).map(|a| (a.server, a.sent))?;
+        r.begun = true;
+        self.returned(server, sent);
+        Some(server)
+    }
+
+    /// Learns from an attempt which servers it has connections to, and how often new ones fail.
+    pub(crate) fn learn_connection(&mut self, now: Time, server: ServerId, fresh: bool, outcome: Outcome) {
+        if outcome == Outcome::NotSent {
+            return;
+        }
+        if fresh {
+            let failed = f64::from(u8::from(outcome == Outcome::Unreachable));
+            self.refused += (failed - self.refused) / 8.0;
+        }
+        let Some(&i) = self.index.get(&server) else { return };
+        let held = !matches!(outcome, Outcome::Unreachable | Outcome::Broken);
+        self.servers[i].connected = held.then_some(now).or(self.servers[i].connected);
+    }
+
+    /// One send less is out.
+    pub(crate) fn returned(&mut self, server: ServerId, sent: Time) {
+        let Some(&i) = self.index.get(&server) else { return };
+        let out = &mut self.servers[i].out;
+        if let Some(at) = out.iter().position(|t| *t == sent) {
+            out.remove(at);
+        }
+    }
+
+    /// Drops a request that is answered and has nothing out.
+    pub(crate) fn forget(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|r| !r.open && r.idle()) {
+            self.requests.remove(&id);
+            self.choosing.retain(|c| c.0 != id);
+        }
+    }
+
+    /// Nothing is owed to a client that has left.
+    pub(crate) fn client_gone(&mut self, id: RequestId) {
+        if let Some(r) = self.requests.get_mut(&id) {
+            r.open = false;
+            self.forget(id);
+        }
+    }
+
+    /// Seconds in which an answer earns the full worth.
+    pub(crate) fn aim(&self, class: ClassId, work: Option<f64>) -> f64 {
+        let class = &self.settings.classes[usize::from(class.0)];
+        class.aim.as_secs_f64() + class.aim_stretch * work.unwrap_or(0.0)
+    }
+
+    /// Asks for a timer after `wait` seconds.
+    pub(crate) fn set_timer(&mut self, now: Time, wait: f64, actions: &mut Vec<Action>) -> TimerId {
+        self.next_timer = self.next_timer.wrapping_add(1);
+        let timer = TimerId(self.next_timer);
+        actions.push(Action::SetTimer { at: now + Duration::from_secs_f64(wait), timer });
+        timer
+    }
+
+    /// Uniform in [0, 1).
+    pub(crate) fn random(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,355 @@
+//! Settings for tests, and an observer of rules one to three and of legal actions. It checks; it simulates
+//! nothing.
+#![allow(dead_code)]
+
+use finchvale::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+pub const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+pub fn at(n: u64) -> Time {
+    Time(1_000_000_000 + n * 1_000_000)
+}
+
+pub fn class(effect: Effect) -> Class {
+    Class {
+        effect,
+        aim: ms(400),
+        aim_stretch: 0.0,
+        deadline: ms(1000),
+        worth: 3.0,
+        late_worth: 0.0,
+        streamed: false,
+        zones: None,
+        kinds: None,
+    }
+}
+
+/// Safe, unsafe, and keyed with each group.
+pub fn settings() -> Settings {
+    let keyed = |group| Effect::Keyed { group, window: ms(500) };
+    Settings {
+        nodes: 4,
+        zone: ZoneId(0),
+        zones: 2,
+        classes: vec![
+            class(Effect::Safe),
+            class(Effect::Unsafe),
+            class(keyed(Group::All)),
+            class(keyed(Group::Zone)),
+            class(keyed(Group::Cell)),
+        ],
+        tenants: vec![],
+        over_share_worth: 0.1,
+        worth_by_work: false,
+        weights_given: false,
+        reports: Reports::WithAnswers,
+        reports_rate: true,
+        list_on_request: false,
+        max_attempts: 3,
+        may_cancel: true,
+        may_probe: false,
+        second_copies: false,
+        conn_idle: ms(60_000),
+        connect_timeout: ms(250),
+        max_wait: Some(ms(1000)),
+        rules: Rules {
+            drain_grace: ms(250),
+            cold_from: 0.13,
+            warm_up: ms(20_000),
+            fall_multiple: 3.0,
+            fall_time: ms(1000),
+            ask_within: ms(10_000),
+        },
+    }
+}
+
+pub fn entry(server: u32, state: ServerState, started: Option<Time>) -> ServerEntry {
+    ServerEntry {
+        server: ServerId(server),
+        zone: ZoneId((server % 2) as u8),
+        kind: KindId((server % 3) as u8),
+        cell: CellId((server % 4) as u16),
+        state,
+        weight: 1.0,
+        started,
+    }
+}
+
+pub fn list(count: u32) -> Event {
+    let entries = (0..count).map(|s| entry(s, ServerState::Ready, None)).collect();
+    Event::List { kind: ListKind::Full, entries }
+}
+
+pub fn arrival(request: u64, class: u8) -> Event {
+    Event::Arrival(Arrival {
+        request: RequestId(request),
+        class: ClassId(class),
+        tenant: TenantId(0),
+        remaining: ms(1000),
+        work: None,
+    })
+}
+
+pub fn report(busy: f64, rate: f64) -> LoadReport {
+    LoadReport { busy: Some(busy), rate: Some(rate), ..LoadReport::default() }
+}
+
+pub fn ended(
+    request: u64,
+    attempt: u32,
+    server: ServerId,
+    outcome: Outcome,
+    report: Option<LoadReport>,
+) -> Event {
+    Event::Ended(Ended {
+        request: RequestId(request),
+        attempt,
+        server,
+        outcome,
+        latency: ms(100),
+        closed: outcome == Outcome::Served,
+        report,
+    })
+}
+
+pub struct Try {
+    pub server: ServerId,
+    pub sent: Time,
+    pub limit: Time,
+    pub outcome: Option<Outcome>,
+}
+
+pub struct Seen {
+    pub class: ClassId,
+    pub ends: Time,
+    pub open: bool,
+    pub tries: Vec<Try>,
+}
+
+/// The same with classes bound to a zone, to kinds, to both, and to nothing that exists.
+pub fn bound() -> Settings {
+    let mut bound = settings();
+    bound.classes[0].zones = Some(vec![ZoneId(1)]);
+    bound.classes[1].kinds = Some(vec![KindId(0), KindId(2)]);
+    bound.classes[2].zones = Some(vec![ZoneId(0)]);
+    bound.classes[2].kinds = Some(vec![KindId(1)]);
+    bound.classes[3].kinds = Some(vec![KindId(9)]);
+    bound
+}
+
+/// Watches events and actions and says which rule an action breaks.
+pub struct Observer {
+    settings: Settings,
+    pub requests: BTreeMap<RequestId, Seen>,
+    /// Each server's place, since when it takes nothing new, and its kind.
+    servers: BTreeMap<ServerId, (ZoneId, CellId, Option<Time>, KindId)>,
+    pub timers: Vec<(Time, TimerId)>,
+    pub probes: Vec<ServerId>,
+}
+
+impl Observer {
+    pub fn new(settings: Settings) -> Self {
+        Observer {
+            settings,
+            requests: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            timers: vec![],
+            probes: vec![],
+        }
+    }
+
+    pub fn event(&mut self, now: Time, event: &Event) {
+        match event {
+            Event::List { kind, entries } => {
+                if matches!(kind, ListKind::Full | ListKind::Cached) {
+                    for s in self.servers.values_mut() {
+                        s.2.get_or_insert(now);
+                    }
+                }
+                for e in entries {
+                    let held = self.servers.get(&e.server).and_then(|s| s.2);
+                    let stop = (e.state != ServerState::Ready).then(|| held.unwrap_or(now));
+                    self.servers.insert(e.server, (e.zone, e.cell, stop, e.kind));
+                }
+            }
+            Event::Arrival(a) => {
+                let (class, ends) = (a.class, now + a.remaining);
+                self.requests.insert(a.request, Seen { class, ends, open: true, tries: vec![] });
+            }
+            Event::Ended(e) => {
+                let Some(r) = self.requests.get_mut(&e.request) else { return };
+                if let Some(t) = r.tries.get_mut(e.attempt as usize) {
+                    t.outcome = Some(e.outcome);
+                }
+                r.open &= !e.closed;
+            }
+            Event::ClientGone { request } => {
+                if let Some(r) = self.requests.get_mut(request) {
+                    r.open = false;
+                }
+            }
+            Event::Begun { .. } | Event::Timer { .. } | Event::Probed(_) => {}
+        }
+    }
+
+    pub fn action(&mut self, now: Time, action: &Action) -> Result<(), String> {
+        let broken = |what: &str| Err(format!("{what}: {action:?} at {now:?}"));
+        match action {
+            Action::Send { request, server, limit } => {
+                let Some(r) = self.requests.get_mut(request) else { return broken("unknown request") };
+                if !r.open || now > r.ends {
+                    return broken("rule 1, sent after the end");
+                }
+                let Some(place) = self.servers.get(server) else { return broken("unknown server") };
+                if place.2.is_some_and(|stop| now - stop > self.settings.rules.drain_grace) {
+                    return broken("rule 3, sent to a server that drains");
+                }
+                let class = &self.settings.classes[usize::from(r.class.0)];
+                if class.zones.as_ref().is_some_and(|open| !open.contains(&place.0))
+                    || class.kinds.as_ref().is_some_and(|open| !open.contains(&place.3))
+                {
+                    return broken("rule 5, sent where its class may not go");
+                }
+                if r.tries.len() as u32 >= self.settings.max_attempts {
+                    return broken("too many attempts");
+                }
+                if !self.settings.second_copies && r.tries.iter().any(|t| t.outcome.is_none()) {
+                    return broken("two copies out");
+                }
+                let risky = r.tries.iter().find(|t| t.outcome.is_none_or(|o| !o.never_ran()));
+                if let Some(t) = risky {
+                    let first = self.servers[&t.server];
+                    let fine = match self.settings.classes[usize::from(r.class.0)].effect {
+                        Effect::Safe => true,
+                        Effect::Unsafe => false,
+                        Effect::Keyed { group, window } => {
+                            now - t.sent <= window
+                                && match group {
+                                    Group::All => true,
+                                    Group::Zone => first.0 == place.0,
+                                    Group::Cell => first.1 == place.1,
+                                }
+                        }
+                    };
+                    if !fine {
+                        return broken("rule 2, sent again");
+                    }
+                }
+                let limit = limit.map_or(r.ends, |l| (now + l).min(r.ends));
+                r.tries.push(Try { server: *server, sent: now, limit, outcome: None });
+            }
+            Action::Refuse { request, .. } => {
+                let Some(r) = self.requests.get_mut(request) else { return broken("unknown request") };
+                let risky = r.tries.iter().any(|t| t.outcome.is_none_or(|o| !o.never_ran()));
+                let fine = match self.settings.classes[usize::from(r.class.0)].effect {
+                    Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+                    _ => !risky,
+                };
+                if !fine {
+                    return broken("rule 2, refused though it may have run");
+                }
+                if !std::mem::take(&mut r.open) {
+                    return broken("rule 1, a second answer");
+                }
+            }
+            Action::Fail { request } => {
+                let Some(r) = self.requests.get_mut(request) else { return broken("unknown request") };
+                if !std::mem::take(&mut r.open) {
+                    return broken("rule 1, a second answer");
+                }
+            }
+            Action::Cancel { request, attempt } => {
+                let tries = self.requests.get(request).map_or(0, |r| r.tries.len());
+                if !self.settings.may_cancel || *attempt as usize >= tries {
+                    return broken("cancels what was never sent");
+                }
+            }
+            Action::SetTimer { at, timer } => self.timers.push((*at, *timer)),
+            Action::Probe { server } => {
+                if !self.settings.may_probe || !self.servers.contains_key(server) {
+                    return broken("probe not allowed");
+                }
+                self.probes.push(*server);
+            }
+            Action::Watch => {
+                if !self.settings.list_on_request {
+                    return broken("asks for a list that comes by itself");
+                }
+            }
+            Action::Log(_) => {}
+        }
+        Ok(())
+    }
+
+    /// Rule 1 from the other side: what is owed when the client's time is over.
+    pub fn overdue(&self, now: Time) -> Option<RequestId> {
+        self.requests.iter().find(|(_, r)| r.open && now >= r.ends + ms(20)).map(|(id, _)| *id)
+    }
+}
+
+/// A balancer under observation.
+pub struct Watched {
+    pub balancer: Balancer,
+    pub observer: Observer,
+    pub now: Time,
+    pub log: Vec<Action>,
+}
+
+impl Watched {
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let balancer = Balancer::new(settings.clone(), seed, at(0)).expect("sound settings");
+        Watched { balancer, observer: Observer::new(settings), now: at(0), log: vec![] }
+    }
+
+    pub fn feed(&mut self, event: Event) -> Result<Vec<Action>, String> {
+        self.observer.event(self.now, &event);
+        let mut actions = vec![];
+        self.balancer.handle(self.now, event, &mut actions);
+        for action in &actions {
+            self.observer.action(self.now, action)?;
+        }
+        self.log.extend(actions.iter().cloned());
+        Ok(actions)
+    }
+
+    /// Lets time pass; timers and time-outs that fall due are delivered.
+    pub fn wait(&mut self, d: Duration) -> Result<(), String> {
+        let until = self.now + d;
+        loop {
+            let timer = self.observer.timers.iter().map(|t| t.0).min();
+            let open = self.observer.requests.iter();
+            let out = open.flat_map(|(id, r)| {
+                r.tries
+                    .iter()
+                    .enumerate()
+                    .filter(|t| t.1.outcome.is_none())
+                    .map(|(n, t)| (t.limit, *id, n, t.server))
+            });
+            let out = out.min();
+            match (timer, out) {
+                (Some(t), o) if t <= until && o.is_none_or(|o| t <= o.0) => {
+                    self.now = self.now.max(t);
+                    let k = self.observer.timers.iter().position(|x| x.0 == t).expect("just found");
+                    let timer = self.observer.timers.remove(k).1;
+                    self.feed(Event::Timer { timer })?;
+                }
+                (_, Some(o)) if o.0 <= until => {
+                    self.now = self.now.max(o.0);
+                    self.feed(ended(o.1 .0, o.2 as u32, o.3, Outcome::TimedOut, None))?;
+                }
+                _ => break,
+            }
+            if let Some(id) = self.observer.overdue(self.now) {
+                return Err(format!("rule 1, request {id} is owed an answer"));
+            }
+        }
+        self.now = until;
+        self.observer
+            .overdue(self.now)
+            .map_or(Ok(()), |id| Err(format!("rule 1, request {id} is owed an answer")))
+    }
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,253 @@
+//! Generated sequences of events, watched by an independent observer of the rules.
+
+mod common;
+
+use common::*;
+use finchvale::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+#[derive(Clone, Debug)]
+enum Op {
+    Arrive { class: u8, remaining: u64, work: Option<u64> },
+    End { which: usize, outcome: u8, busy: f64, closed: bool },
+    Probe { which: usize, outcome: u8, busy: f64 },
+    Wait(u64),
+    Change { server: u32, state: u8, started: bool },
+    Whole { count: u32, kind: u8 },
+    Leave { which: usize },
+    Stray(u64),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let busy = prop_oneof![0.0..1.0f64, Just(f64::NAN), Just(f64::INFINITY), Just(-1.0)];
+    prop_oneof![
+        6 => (0u8..6, prop_oneof![Just(0u64), 1u64..1500, Just(u64::MAX / 2_000_000)], proptest::option::of(0u64..3000))
+            .prop_map(|(class, remaining, work)| Op::Arrive { class, remaining, work }),
+        6 => (0usize..8, 0u8..8, busy.clone(), any::<bool>())
+            .prop_map(|(which, outcome, busy, closed)| Op::End { which, outcome, busy, closed }),
+        4 => (0usize..8, 0u8..8, busy).prop_map(|(which, outcome, busy)| Op::Probe { which, outcome, busy }),
+        4 => (0u64..400).prop_map(Op::Wait),
+        2 => (0u32..10, 0u8..3, any::<bool>())
+            .prop_map(|(server, state, started)| Op::Change { server, state, started }),
+        1 => (0u32..9, 0u8..4).prop_map(|(count, kind)| Op::Whole { count, kind }),
+        1 => (0usize..8).prop_map(|which| Op::Leave { which }),
+        1 => any::<u64>().prop_map(Op::Stray),
+    ]
+}
+
+fn outcome(n: u8) -> Outcome {
+    use Outcome::*;
+    [Served, Error, TurnedAway, TimedOut, Unreachable, Broken, Cancelled, NotSent][usize::from(n % 8)]
+}
+
+fn state(n: u8) -> ServerState {
+    [ServerState::Ready, ServerState::Draining, ServerState::Gone][usize::from(n % 3)]
+}
+
+fn play(settings: Settings, ops: &[Op], seed: u64) -> Result<Vec<Action>, String> {
+    let mut w = Watched::new(settings, seed);
+    w.feed(list(8))?;
+    let mut id = 0;
+    for op in ops {
+        match *op {
+            Op::Arrive { class, remaining, work } => {
+                id += 1;
+                let class = ClassId(class % 5);
+                let (request, tenant) = (RequestId(id), TenantId(0));
+                w.feed(Event::Arrival(Arrival {
+                    request,
+                    class,
+                    tenant,
+                    remaining: ms(remaining),
+                    work: work.map(ms),
+                }))?;
+            }
+            Op::End { which, outcome: o, busy, closed } => {
+                let open = w.observer.requests.iter();
+                let out: Vec<_> = open
+                    .flat_map(|(id, r)| {
+                        r.tries
+                            .iter()
+                            .enumerate()
+                            .filter(|t| t.1.outcome.is_none())
+                            .map(|(n, t)| (id.0, n as u32, t.server))
+                    })
+                    .collect();
+                if let Some(&(id, n, server)) = out.get(which % out.len().max(1)) {
+                    let outcome = outcome(o);
+                    let closed =
+                        outcome == Outcome::Served || (closed && !w.observer.requests[&RequestId(id)].open);
+                    let report = Some(report(busy, busy * 100.0));
+                    let (request, latency) = (RequestId(id), ms(30));
+                    w.feed(Event::Ended(Ended {
+                        request,
+                        attempt: n,
+                        server,
+                        outcome,
+                        latency,
+                        closed,
+                        report,
+                    }))?;
+                }
+            }
+            Op::Probe { which, outcome: o, busy } => {
+                if !w.observer.probes.is_empty() {
+                    let server = w.observer.probes.remove(which % w.observer.probes.len());
+                    let report = Some(LoadReport { held: Some(busy), ..report(busy, 0.0) });
+                    w.feed(Event::Probed(Probed { server, outcome: outcome(o), latency: ms(1), report }))?;
+                }
+            }
+            Op::Wait(n) => w.wait(ms(n))?,
+            Op::Change { server, state: s, started } => {
+                let entries = vec![entry(server, state(s), started.then_some(w.now))];
+                w.feed(Event::List { kind: ListKind::Changes, entries })?;
+            }
+            Op::Whole { count, kind } => {
+                let kind = [ListKind::Full, ListKind::Cached, ListKind::Failed, ListKind::Full]
+                    [usize::from(kind % 4)];
+                let count = if kind == ListKind::Failed { 0 } else { count };
+                let entries = (0..count).map(|s| entry(s % 7, ServerState::Ready, None)).collect();
+                w.feed(Event::List { kind, entries })?;
+            }
+            Op::Leave { which } => {
+                let ids: Vec<_> = w.observer.requests.keys().copied().collect();
+                if let Some(&request) = ids.get(which % ids.len().max(1)) {
+                    w.feed(Event::ClientGone { request })?;
+                }
+            }
+            // Events about what the balancer does not hold are passed over.
+            Op::Stray(n) => {
+                let none = w.feed(ended(
+                    n | 1 << 60,
+                    0,
+                    ServerId(n as u32),
+                    Outcome::Error,
+                    Some(report(0.5, 1.0)),
+                ))?;
+                assert!(none.is_empty());
+                assert!(w.feed(Event::ClientGone { request: RequestId(n | 1 << 60) })?.is_empty());
+                assert!(w.feed(Event::Timer { timer: TimerId(u32::MAX) })?.is_empty());
+                let (request, attempt) = (RequestId(n | 1 << 60), 3);
+                assert!(w.feed(Event::Begun { request, attempt, latency: ms(1) })?.is_empty());
+                let (server, outcome) = (ServerId(u32::MAX), Outcome::Served);
+                let stray = Probed { server, outcome, latency: ms(1), report: None };
+                assert!(w.feed(Event::Probed(stray))?.is_empty());
+            }
+        }
+    }
+    // Whatever is still held ends by its own time.
+    w.wait(ms(3000))?;
+    Ok(w.log)
+}
+
+fn variants() -> Vec<Settings> {
+    let plain = settings();
+    let probing = Settings {
+        reports: Reports::ByProbe,
+        reports_rate: false,
+        may_probe: true,
+        second_copies: true,
+        ..settings()
+    };
+    let silent =
+        Settings { reports: Reports::Absent, reports_rate: false, list_on_request: true, ..settings() };
+    let weighed = Settings { weights_given: true, max_attempts: 1, max_wait: None, ..settings() };
+    let placed_probing =
+        Settings { classes: bound().classes, max_attempts: 5, second_copies: true, ..probing.clone() };
+    vec![plain, probing, silent, weighed, bound(), placed_probing]
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 200, rng_seed: RngSeed::Fixed(20261128), failure_persistence: None, ..Config::default() })]
+
+    #[test]
+    fn rules_hold_over_generated_events(ops in proptest::collection::vec(op(), 1..120), seed in any::<u64>()) {
+        for settings in variants() {
+            if let Err(broken) = play(settings, &ops, seed) {
+                prop_assert!(false, "{}", broken);
+            }
+        }
+    }
+
+    /// The same events and seed give the same actions.
+    #[test]
+    fn actions_are_determined_by_events_and_seed(ops in proptest::collection::vec(op(), 1..80), seed in any::<u64>()) {
+        let first = play(settings(), &ops, seed);
+        let _other = play(variants().remove(1), &ops, seed ^ 1);
+        prop_assert_eq!(first, play(settings(), &ops, seed));
+    }
+}
+
+/// The observer itself catches a planted violation of each rule.
+#[test]
+fn observer_catches_planted_violations() {
+    let send =
+        |request, server| Action::Send { request: RequestId(request), server: ServerId(server), limit: None };
+    let start = || {
+        let mut o = Observer::new(settings());
+        o.event(at(0), &list(8));
+        for class in 0..5 {
+            o.event(at(0), &arrival(u64::from(class), class));
+            o.action(at(0), &send(u64::from(class), 0)).expect("a first send is fine");
+        }
+        o
+    };
+    let refuse = |request| Action::Refuse { request: RequestId(request), wait: None };
+    // Rule 1: no answer, two answers, a send after the end.
+    assert_eq!(start().overdue(at(1020)), Some(RequestId(0)));
+    assert_eq!(start().overdue(at(900)), None);
+    let mut o = start();
+    o.action(at(1), &refuse(0)).expect("safe requests may be refused");
+    assert!(o.action(at(1), &refuse(0)).is_err());
+    assert!(o.action(at(1), &Action::Fail { request: RequestId(0) }).is_err());
+    assert!(o.action(at(1), &send(0, 1)).is_err());
+    // Rule 2: unsafe again, keyed outside its group or window, refused though it may have run, two out.
+    for (request, server, when, fine) in [
+        (0, 1, 1, true),
+        (1, 0, 1, false),
+        (2, 1, 1, true),
+        (2, 1, 501, false),
+        (3, 2, 1, true),
+        (3, 1, 1, false),
+        (4, 4, 1, true),
+        (4, 2, 1, false),
+    ] {
+        let mut o = start();
+        assert!(o.action(at(1), &send(request, server)).is_err(), "two copies out");
+        o.event(at(1), &ended(request, 0, ServerId(0), Outcome::Error, None));
+        assert_eq!(
+            o.action(at(when), &send(request, server)).is_ok(),
+            fine,
+            "{request} to {server} at {when}"
+        );
+        let mut o = start();
+        o.event(at(1), &ended(request, 0, ServerId(0), Outcome::Error, None));
+        assert_eq!(o.action(at(1), &refuse(request)).is_ok(), request == 0 || request == 2);
+    }
+    // Rule 5: a first try and a further one outside the class's zone, kind, or both.
+    for (class, server, fine) in
+        [(0, 1, true), (0, 2, false), (1, 0, true), (1, 1, false), (2, 4, true), (2, 1, false), (3, 0, false)]
+    {
+        for tried in [false, true] {
+            let mut o = Observer::new(bound());
+            o.event(at(0), &list(8));
+            o.event(at(0), &arrival(1, class));
+            if tried {
+                if let Some(first) = [5, 3, 4].get(usize::from(class)) {
+                    o.action(at(0), &send(1, *first)).expect("open to the class");
+                    o.event(at(1), &ended(1, 0, ServerId(*first), Outcome::TurnedAway, None));
+                }
+            }
+            assert_eq!(o.action(at(1), &send(1, server)).is_ok(), fine, "{class} to {server}");
+        }
+    }
+    // Rule 3: a send after the grace.
+    for (when, fine) in [(260, true), (261, false)] {
+        let mut o = start();
+        let entries = vec![entry(5, ServerState::Draining, None)];
+        o.event(at(10), &Event::List { kind: ListKind::Changes, entries });
+        o.event(at(11), &arrival(9, 0));
+        assert_eq!(o.action(at(when), &send(9, 5)).is_ok(), fine);
+    }
+}
