--- a/drill/src/settings.rs
+++ b/drill/src/settings.rs
@@ -2,13 +2,14 @@
 //!
 //! Read and passed on: `balancers`, `profiles` (with `runs_in` and `kinds_open`), `registry_mode`, `report`,
 //! `rules`, `tenants`, `over_share_worth`, `weights`, `worth_by`, `zone`, `zones`, and of `limits` the attempts, the
-//! permissions, the advice on waits, `conn_idle_ns` and `connect_timeout_ns`.
+//! permissions, the advice on waits, `conn_idle_ns` and `connect_timeout_ns`. The names of classes, tenants, zones,
+//! kinds and report values are kept beside the settings, for a node that meets them in messages.
 //!
-//! Skipped, since no decision uses them yet: `prices`, `goal`, `clients`, `extra`, `kinds` (names), `me`, `tier`,
+//! Skipped, since no decision uses them yet: `prices`, `goal`, `clients`, `extra`, `me`, `tier`,
 //! `tiers`, `tick_ns`, `limits.max_open`, `limits.streams_per_conn`, `limits.cpu_*`, `limits.peer_messages`,
 //! `rules.answer_slack_ns` (answers are given by the deadline itself) and the report value `errors_per_s`.
 
-use finchvale::{Class, Effect, Group, KindId, Reports, Rules, Settings, Tenant, ZoneId};
+use finchvale::{Class, Effect, Group, KindId, LoadReport, Reports, Rules, Settings, Tenant, ZoneId};
 use serde::Deserialize;
 use std::time::Duration;
 
@@ -42,6 +43,35 @@
     Other,
 }
 
+impl Field {
+    /// Writes the figure found at this position into a report.
+    pub fn put(self, value: f64, report: &mut LoadReport) {
+        match self {
+            Field::Utilization => report.busy = Some(value),
+            Field::Throughput => report.rate = Some(value),
+            Field::Backlog => report.waiting = Some(value),
+            Field::Outstanding => report.held = Some(value),
+            Field::RecentMs => report.service = Some(value / 1e3),
+            Field::Other => {}
+        }
+    }
+}
+
+/// What the settings' positions are called in messages.
+#[derive(Debug, Default)]
+pub struct Names {
+    /// Request classes.
+    pub classes: Vec<String>,
+    /// Tenants.
+    pub tenants: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Machine kinds.
+    pub kinds: Vec<String>,
+    /// Values of a load report.
+    pub fields: Vec<String>,
+}
+
 /// What an instance is started with.
 #[derive(Debug)]
 pub struct Config {
@@ -49,6 +79,8 @@
     pub settings: Settings,
     /// For reading load reports.
     pub fields: Vec<Field>,
+    /// For reading messages that name things.
+    pub names: Names,
 }
 
 #[derive(Deserialize)]
@@ -72,6 +104,8 @@
     zone: u8,
     #[serde(default)]
     zones: Vec<String>,
+    #[serde(default)]
+    kinds: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -126,6 +160,8 @@
 
 #[derive(Deserialize)]
 struct Profile {
+    #[serde(default)]
+    name: String,
     promise_ns: u64,
     deadline_ns: u64,
     effect: EffectDoc,
@@ -183,6 +219,8 @@
 
 #[derive(Deserialize)]
 struct TenantDoc {
+    #[serde(default)]
+    name: String,
     quota_per_s: f64,
 }
 
@@ -252,7 +290,14 @@
             ask_within: ns(doc.rules.ask_every_ns),
         },
     };
-    Ok(Config { settings, fields })
+    let names = Names {
+        classes: doc.profiles.into_iter().map(|p| p.name).collect(),
+        tenants: doc.tenants.into_iter().map(|t| t.name).collect(),
+        zones: doc.zones,
+        kinds: doc.kinds,
+        fields: doc.report.fields,
+    };
+    Ok(Config { settings, fields, names })
 }
 
 fn field(name: &str) -> Field {
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -254,15 +254,7 @@
     }
     let mut report = LoadReport::default();
     for (i, field) in fields[..n].iter().enumerate() {
-        let value = Some(f64::from(f32::from_bits(int::<4>(bytes, 1 + 4 * i) as u32)));
-        match field {
-            Field::Utilization => report.busy = value,
-            Field::Throughput => report.rate = value,
-            Field::Backlog => report.waiting = value,
-            Field::Outstanding => report.held = value,
-            Field::RecentMs => report.service = value.map(|ms| ms / 1e3),
-            Field::Other => {}
-        }
+        field.put(f64::from(f32::from_bits(int::<4>(bytes, 1 + 4 * i) as u32)), &mut report);
     }
     Ok(Some(report))
 }
--- /dev/null
+++ b/node/src/main.rs
@@ -0,0 +1,102 @@
+//! `birchswitch`: a reverse-proxy node. Reads its configuration, wires the parts together, and ends on a signal.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod backend;
+mod config;
+mod discovery;
+mod engine;
+mod frontend;
+
+use backend::Backends;
+use config::Config;
+use engine::Engine;
+use frontend::{Frontend, Phase};
+use std::error::Error;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+use tokio::task::{spawn_local, LocalSet};
+
+/// Clients go on coming for this long after a signal.
+const LEAVE: Duration = Duration::from_millis(500);
+/// Beyond the longest deadline, for the last answers to be written.
+const LAST_WRITES: Duration = Duration::from_millis(100);
+/// Descriptors for all that is no client and no backend: standard streams, listener, discovery, the runtime.
+const RESERVED_SOCKETS: usize = 32;
+/// Most that one request may hold: its body and answer, and the buffers of both connections.
+const REQUEST_MEMORY: usize = 256 << 10;
+/// Connections that the system holds until they are accepted.
+const BACKLOG: u32 = 1024;
+
+fn main() -> ExitCode {
+    let run = || -> Result<(), Box<dyn Error>> {
+        let config = Config::from_env()?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        LocalSet::new().block_on(&runtime, run(config))
+    };
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("birchswitch: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(config: Config) -> Result<(), Box<dyn Error>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let settings = config.site.settings;
+    let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+    let effects = settings.classes.iter().map(|c| c.effect).collect();
+    let asked = settings.list_on_request;
+    // Half of memory is for requests; clients and backends share what descriptors there are.
+    let clients = ((config.sockets - RESERVED_SOCKETS) / 2).min(config.memory / 2 / REQUEST_MEMORY).max(1);
+    let limits = backend::Limits {
+        connections: config.sockets - RESERVED_SOCKETS - clients,
+        connect_timeout: or(settings.connect_timeout, Duration::from_millis(250)),
+        conn_idle: or(settings.conn_idle, Duration::from_secs(5)),
+    };
+    let backends = Rc::new(Backends::new(limits, config.site.names, config.site.fields));
+    let engine = Engine::new(config.name, settings, config.seed, backends.clone(), config.discovery)?;
+    let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    engine.known(config.known.as_ref());
+    if !asked {
+        spawn_local(discovery::follow(engine.clone(), config.discovery));
+    }
+    spawn_local(async move { backends.retire_idle().await });
+    let (phase, phases) = watch::channel(Phase::Serving);
+    let served = spawn_local(Frontend::new(engine.clone(), effects, clients as u32, phases).serve(listener));
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    engine.log(format_args!("leaving"));
+    phase.send_replace(Phase::Leaving);
+    tokio::time::sleep(LEAVE).await;
+    phase.send_replace(Phase::Closing);
+    // What was taken last is due within the longest deadline.
+    let _ = tokio::time::timeout(longest + LAST_WRITES, served).await;
+    engine.log(format_args!("left"));
+    Ok(())
+}
+
+fn or(figure: Duration, otherwise: Duration) -> Duration {
+    if figure.is_zero() {
+        otherwise
+    } else {
+        figure
+    }
+}
+
+fn listen(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
