Node: add loopback tests; settle a probe's connection before reporting it

A test that scripts probe and request on one connection sees the node open a second one. Checked: the probed server's connection is given back only after the report has started the attempt (engine.rs, probe); the pool itself reuses connections (a_connection_is_used_again passes), so it is ruled out. The test probes_choose_the_idle_server fails without the change and passes with it. Also: a client connection with a head that never ends gives way when its place is needed; load reports may hold figures of other types.

--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -25,7 +25,7 @@
 /// Bound on a connection's read buffer: room for a head and a part of a body.
 pub const MOST_BUFFER: usize = 32 << 10;
 /// A connection is idle again once its answer is read; one that takes longer has something wrong with it.
-const SETTLE: Duration = Duration::from_millis(100);
+const SETTLE: Duration = Duration::from_millis(5);
 
 /// One server, as long as the list names it or something is out there.
 pub struct Server {
@@ -370,10 +370,11 @@
 
     /// Reads a load report by the names of its fields; without any of them it is none.
     fn load_report(&self, text: &[u8]) -> Option<LoadReport> {
-        let values: FxHashMap<String, f64> = serde_json::from_slice(text).ok()?;
+        let values: FxHashMap<String, serde_json::Value> = serde_json::from_slice(text).ok()?;
         let mut report = LoadReport::default();
         for (name, field) in self.names.fields.iter().zip(&self.fields) {
-            values.get(name).iter().for_each(|v| field.put(**v, &mut report));
+            let value = values.get(name).and_then(serde_json::Value::as_f64);
+            value.iter().for_each(|v| field.put(*v, &mut report));
         }
         (report != LoadReport::default()).then_some(report)
     }
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -331,11 +331,13 @@
         spawn_local(async move {
             let exchange = backends.probe(&backend, PROBE_TIMEOUT).await;
             let (outcome, latency, report) = (exchange.outcome, began.elapsed(), exchange.report);
-            let probed = Probed { server, outcome, latency, report };
-            me.upgrade().iter().for_each(|e| e.feed(Event::Probed(probed)));
+            // Before the report, which brings about an attempt there: it would find no idle connection and open
+            // one more, beside the one that is about to be idle.
             if let Some(connection) = exchange.connection {
                 backends.give_back(&backend, connection).await;
             }
+            let probed = Probed { server, outcome, latency, report };
+            me.upgrade().iter().for_each(|e| e.feed(Event::Probed(probed)));
         });
     }
 
--- a/node/src/frontend.rs
+++ b/node/src/frontend.rs
@@ -20,7 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::spawn_local;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// Kept back from the client's time, for what lies between its send and the head's arrival here and for the
 /// answer's way back: at most this ...
@@ -31,6 +31,8 @@
 const OVERDUE: u32 = 4;
 /// A connection may wait this long for a request, and a request's head may take this long.
 const IDLE: Duration = Duration::from_secs(60);
+/// For what is under way on a connection whose place is needed.
+const LAST_CHANCE: Duration = Duration::from_millis(100);
 /// No client waits for longer.
 const LONGEST_WAIT: Duration = Duration::from_secs(3600);
 /// A failed `accept` is not tried again at once.
@@ -176,7 +178,14 @@
             tokio::select! {
                 _ = connection.as_mut() => return, // Its errors are the client's: it left or spoke no HTTP.
                 _ = phase.wait_for(|p| *p == Phase::Closing), if !told => {}
-                () = client.close.notified(), if !told => {}
+                () = client.close.notified() => {
+                    connection.as_mut().graceful_shutdown();
+                    // A head that never ends would keep its place for as long as it likes: only what has come
+                    // in whole meanwhile is worth the wait.
+                    if timeout(LAST_CHANCE, connection.as_mut()).await.is_ok() || client.idle.get().is_some() {
+                        return;
+                    }
+                }
             }
             told = true;
             connection.as_mut().graceful_shutdown();
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -65,6 +65,7 @@
     let backends = Rc::new(Backends::new(limits, config.site.names, config.site.fields));
     let engine = Engine::new(config.name, settings, config.seed, backends.clone(), config.discovery)?;
     let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    engine.log(format_args!("listening on {}", listener.local_addr()?));
     engine.known(config.known.as_ref());
     if !asked {
         spawn_local(discovery::follow(engine.clone(), config.discovery));
--- /dev/null
+++ b/node/tests/attempts.rs
@@ -0,0 +1,189 @@
+//! What goes on to servers, and what their answers are taken for.
+
+mod common;
+use common::*;
+
+#[tokio::test]
+async fn a_request_and_its_answer_pass_unchanged() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let mut client = node.client().await;
+    client
+        .write(
+            "POST /keyed/a%20b;c?x=1&y=%2F HTTP/1.1\r\nHost: shop\r\nX-Request-ID: 9b1f\r\nX-Timeout: 9000m\r\n\
+             X-Tenant-Id: one\r\nIdempotency-Key: 5c0f\r\nCookie: obj=7\r\nContent-Length: 5\r\n\r\nhello",
+        )
+        .await;
+    let (mut wire, request) = server.request().await;
+    assert_eq!(request.start, "POST /keyed/a%20b;c?x=1&y=%2F HTTP/1.1");
+    assert_eq!(request.body, b"hello");
+    for (name, value) in [("x-request-id", "9b1f"), ("idempotency-key", "5c0f"), ("cookie", "obj=7")] {
+        assert_eq!(request.header(name), Some(value));
+    }
+    let wait = request.header("x-timeout").and_then(|v| v.strip_suffix('u')).expect("microseconds");
+    assert!(wait.parse::<u64>().expect("a number") < 9_000_000, "what remains is less than what there was");
+    wire.answer("200 OK", "X-More: 1\r\n", "bye").await;
+    let answer = client.read().await.expect("an answer");
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"bye"[..]));
+}
+
+/// Only the mark proves that a request did not run: a bare 503 may come from behind the work.
+#[tokio::test]
+async fn a_bare_503_ends_an_unsafe_request_as_failed() {
+    let (one, two) = (Peer::new().await, Peer::new().await);
+    let (node, _discovery, _watch) = Node::serving(&[("one", &one), ("two", &two)]).await;
+    for headers in ["", "X-Not-Processed: 0\r\n"] {
+        let mut client = node.client().await;
+        client.send("unsafe", "20000m").await;
+        let ((mut wire, _), other) = tokio::select! {
+            got = one.request() => (got, &two),
+            got = two.request() => (got, &one),
+        };
+        wire.answer("503 Service Unavailable", headers, "").await;
+        let status = client.read().await.expect("an answer").status();
+        assert!(![200, 429, 503].contains(&status), "answered {status}, which promises that it did not run");
+        assert!(other.untouched().await, "sent again");
+    }
+}
+
+#[tokio::test]
+async fn an_unsafe_request_goes_on_when_it_surely_did_not_run() {
+    let (one, two) = (Peer::new().await, Peer::new().await);
+    let (node, _discovery, _watch) = Node::serving(&[("one", &one), ("two", &two)]).await;
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    let ((mut wire, first), other) = tokio::select! {
+        got = one.request() => (got, &two),
+        got = two.request() => (got, &one),
+    };
+    wire.answer("503 Service Unavailable", "X-Not-Processed: 1\r\n", "").await;
+    let (mut wire, second) = other.request().await;
+    assert_eq!(first.header("x-request-id"), second.header("x-request-id"));
+    wire.answer("200 OK", "", "done").await;
+    assert_eq!(client.read().await.expect("an answer").body, b"done");
+}
+
+/// A connection that breaks after the request, even in the middle of its answer, leaves open whether it ran.
+#[tokio::test]
+async fn a_broken_connection_may_have_run() {
+    let (one, two) = (Peer::new().await, Peer::new().await);
+    let (node, _discovery, _watch) = Node::serving(&[("one", &one), ("two", &two)]).await;
+    for begun in ["", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"] {
+        let mut client = node.client().await;
+        client.send("unsafe", "20000m").await;
+        let ((mut wire, _), other) = tokio::select! {
+            got = one.request() => (got, &two),
+            got = two.request() => (got, &one),
+        };
+        wire.write(begun).await;
+        drop(wire);
+        assert_eq!(client.read().await.expect("an answer").status(), 504);
+        assert!(other.untouched().await, "sent again");
+    }
+}
+
+/// A refused connection carried nothing, so that even an unsafe request may be refused: the client may come again.
+#[tokio::test]
+async fn a_refused_connection_never_ran() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    drop(server);
+    let answer = node.client().await.ask("unsafe").await.expect("an answer");
+    assert_eq!(answer.status(), 503);
+    assert_eq!(answer.header("retry-after"), Some("1.500"));
+}
+
+/// Without a look at the socket first, the request is written to a connection that the server has closed, and is
+/// lost to it.
+#[tokio::test]
+async fn a_connection_closed_while_idle_is_not_used() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let mut client = node.client().await;
+    for _ in 0..20 {
+        client.send("unsafe", "20000m").await;
+        let (mut wire, _) = server.request().await;
+        wire.answer("200 OK", "", "").await;
+        assert_eq!(client.read().await.expect("an answer").status(), 200);
+        drop(wire);
+    }
+}
+
+#[tokio::test]
+async fn a_connection_is_used_again() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    let (mut wire, _) = server.request().await;
+    for _ in 0..3 {
+        wire.answer("200 OK", "", "").await;
+        assert_eq!(client.read().await.expect("an answer").status(), 200);
+        client.send("unsafe", "20000m").await;
+        wire.read().await.expect("the next request on the same connection");
+    }
+}
+
+/// A server that says nothing costs the client no answer: it comes before the client's time is up, and the attempt's
+/// connection is closed.
+#[tokio::test]
+async fn a_silent_server_fails_the_request_in_time() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let mut client = node.client().await;
+    client.send("unsafe", "400m").await;
+    let (mut wire, _) = server.request().await;
+    assert_eq!(client.read().await.expect("an answer").status(), 504);
+    wire.closed().await;
+}
+
+/// Nothing is owed to a client that has left, and nothing more is sent for it.
+#[tokio::test]
+async fn nothing_more_is_sent_for_a_client_that_left() {
+    let (one, two) = (Peer::new().await, Peer::new().await);
+    let (node, _discovery, _watch) = Node::serving(&[("one", &one), ("two", &two)]).await;
+    let mut client = node.client().await;
+    client.send("safe", "20000m").await;
+    let ((mut wire, first), other) = tokio::select! {
+        got = one.request() => (got, &two),
+        got = two.request() => (got, &one),
+    };
+    drop(client);
+    node.get("/health/live").await; // Answered after the node has seen what came before it.
+    wire.answer("503 Service Unavailable", "X-Not-Processed: 1\r\n", "").await;
+    assert!(other.untouched().await, "sent again");
+    let mut client = node.client().await;
+    client.send("safe", "20000m").await;
+    let next = tokio::select! {
+        next = wire.read() => next.expect("a request"),
+        (_, next) = other.request() => next,
+    };
+    assert_ne!(first.header("x-request-id"), next.header("x-request-id"));
+}
+
+/// Reports come under the names that the settings give, beside figures that nobody asked for.
+#[tokio::test]
+async fn probes_choose_the_idle_server() {
+    let (busy, idle) = (Peer::new().await, Peer::new().await);
+    let discovery = Peer::new().await;
+    let mut settings = settings();
+    settings["report"] = serde_json::json!({"how": "pull", "fields": ["outstanding", "utilization"]});
+    let node = Node::with(&discovery, settings, 1024).await;
+    let (mut watch, _) = discovery.watch().await;
+    let members = [member("busy", busy.address(), "active"), member("idle", idle.address(), "active")];
+    watch.list(1, true, &members).await;
+    node.ready().await;
+    for _ in 0..5 {
+        let mut client = node.client().await;
+        client.send("unsafe", "20000m").await;
+        let ((mut busy, b), (mut idle, i)) = tokio::join!(busy.request(), idle.request());
+        assert_eq!((b.start.as_str(), i.start.as_str()), ("GET /stats HTTP/1.1", "GET /stats HTTP/1.1"));
+        busy.answer("200 OK", "", r#"{"outstanding":9,"utilization":1.0,"spare":null}"#).await;
+        idle.answer("200 OK", "", r#"{"spare":"x","outstanding":0,"utilization":0.0}"#).await;
+        let request = idle.read().await.expect("the request at the idle server");
+        assert!(request.start.starts_with("POST /unsafe"));
+        idle.answer("200 OK", "Connection: close\r\n", "").await;
+        assert_eq!(client.read().await.expect("an answer").status(), 200);
+        drop(busy);
+    }
+}
--- /dev/null
+++ b/node/tests/common/mod.rs
@@ -0,0 +1,276 @@
+//! A node as a process of its own, and both of its neighbours as plain sockets that a test scripts byte by byte.
+
+#![allow(dead_code)] // Each test file uses its part.
+
+use serde_json::{json, Value};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::process::{ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::process::{Child, ChildStderr, Command};
+
+/// Ends a test that waits for something that never comes; nothing is measured by it.
+pub async fn within<T>(what: &str, future: impl Future<Output = T>) -> T {
+    match tokio::time::timeout(Duration::from_secs(30), future).await {
+        Ok(value) => value,
+        Err(_) => panic!("{what}: nothing came"),
+    }
+}
+
+/// An HTTP message as it came.
+#[derive(Debug)]
+pub struct Message {
+    /// Request or status line.
+    pub start: String,
+    headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|h| h.0.eq_ignore_ascii_case(name)).map(|h| h.1.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status line")
+    }
+}
+
+/// One connection, either way.
+pub struct Wire(BufReader<TcpStream>);
+
+impl Wire {
+    pub async fn connect(address: SocketAddr) -> Self {
+        Wire(BufReader::new(within("a connection", TcpStream::connect(address)).await.expect("a connection")))
+    }
+
+    pub async fn write(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).await.expect("writing");
+    }
+
+    /// The next message; None if the connection ends first.
+    pub async fn read(&mut self) -> Option<Message> {
+        within("a message", self.read_message()).await
+    }
+
+    async fn read_message(&mut self) -> Option<Message> {
+        let mut lines = Vec::new();
+        loop {
+            let mut line = String::new();
+            if !matches!(self.0.read_line(&mut line).await, Ok(n) if n > 0) {
+                return None;
+            }
+            match line.trim_end() {
+                "" => break,
+                line => lines.push(line.to_owned()),
+            }
+        }
+        let start = lines.remove(0);
+        let split = |l: String| l.split_once(':').map(|(n, v)| (n.to_owned(), v.trim().to_owned()));
+        let headers = lines.into_iter().filter_map(split).collect();
+        let mut message = Message { start, headers, body: Vec::new() };
+        let length = message.header("content-length").map_or(0, |l| l.parse().expect("a length"));
+        message.body = vec![0; length];
+        self.0.read_exact(&mut message.body).await.ok()?;
+        Some(message)
+    }
+
+    /// Waits for the other side to close.
+    pub async fn closed(&mut self) {
+        let mut rest = Vec::new();
+        let _ = within("the connection's end", self.0.read_to_end(&mut rest)).await;
+        assert!(rest.is_empty(), "closed only after {:?}", String::from_utf8_lossy(&rest));
+    }
+
+    /// Answers with further header lines, each ended, and a body.
+    pub async fn answer(&mut self, status: &str, headers: &str, body: &str) {
+        let length = body.len();
+        self.write(&format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n{body}")).await;
+    }
+
+    /// Sends a request of a class and returns its answer.
+    pub async fn ask(&mut self, class: &str) -> Option<Message> {
+        self.send(class, "20000m").await;
+        self.read().await
+    }
+
+    pub async fn send(&mut self, class: &str, wait: &str) {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let id = NEXT.fetch_add(1, Ordering::Relaxed);
+        let key = if class == "keyed" { "Idempotency-Key: k\r\n" } else { "" };
+        let head =
+            format!("POST /{class} HTTP/1.1\r\nHost: a\r\nX-Request-ID: r{id}\r\nX-Timeout: {wait}\r\n");
+        self.write(&format!("{head}X-Tenant-Id: one\r\nX-Cost: 90000\r\n{key}Content-Length: 0\r\n\r\n"))
+            .await;
+    }
+}
+
+/// A listener that a test accepts from by hand.
+pub struct Peer(TcpListener);
+
+impl Peer {
+    pub async fn new() -> Self {
+        Peer(TcpListener::bind("127.0.0.1:0").await.expect("a port"))
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.0.local_addr().expect("an address")
+    }
+
+    pub async fn accept(&self) -> Wire {
+        let accepted = within("a connection to be accepted", self.0.accept()).await;
+        Wire(BufReader::new(accepted.expect("a connection").0))
+    }
+
+    /// A new connection and the first request on it.
+    pub async fn request(&self) -> (Wire, Message) {
+        let mut wire = self.accept().await;
+        let request = wire.read().await.expect("a request");
+        (wire, request)
+    }
+
+    /// Whether a connection waits to be accepted.
+    pub async fn untouched(&self) -> bool {
+        tokio::time::timeout(Duration::from_millis(50), self.0.accept()).await.is_err()
+    }
+
+    /// For discovery: takes in a watch and begins its answer.
+    pub async fn watch(&self) -> (Watch, String) {
+        let (mut wire, request) = self.request().await;
+        wire.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+        (Watch(wire), request.start)
+    }
+}
+
+/// An open watch.
+pub struct Watch(pub Wire);
+
+impl Watch {
+    pub async fn line(&mut self, line: &str) {
+        self.0.write(&format!("{:x}\r\n{line}\n\r\n", line.len() + 1)).await;
+    }
+
+    /// Sends a list, and waits until the node has it: what was written before an answered request has been read.
+    pub async fn list(&mut self, revision: u64, complete: bool, members: &[Value]) {
+        let list = json!({"revision": revision, "complete": complete, "members": members});
+        self.line(&list.to_string()).await;
+    }
+}
+
+/// A server as discovery describes it.
+pub fn member(id: &str, address: SocketAddr, phase: &str) -> Value {
+    json!({"id": id, "host_port": address.to_string(), "locality": "here", "flavor": "std", "cell": 1,
+           "phase": phase, "size": 1.0, "up_since_ms": 0})
+}
+
+/// Settings with a class of each kind: `safe`, `keyed` and `unsafe`.
+pub fn settings() -> Value {
+    let class = |name, effect| {
+        json!({"name": name, "effect": effect, "promise_ns": 20_000_000_000u64, "importance": 1.0,
+               "deadline_ns": 20_000_000_000u64, "key_scope": "cell", "repeat_window_ns": 10_000_000_000u64})
+    };
+    json!({
+        "balancers": 1, "zone": 0, "zones": ["here"], "kinds": ["std"], "registry_mode": "automatic",
+        "profiles": [class("safe", "free"), class("keyed", "guarded"), class("unsafe", "single_shot")],
+        "tenants": [{"name": "one", "quota_per_s": 1000.0, "share": 1.0}],
+        "limits": {"try_limit": 3, "conn_idle_ns": 15_000_000_000u64, "connect_timeout_ns": 5_000_000_000u64,
+                   "may_cancel": true, "may_probe": true, "retry_after": true, "max_retry_after_ns": 1_500_000_000u64},
+        "report": {"how": "silent"},
+        "rules": {"cold_from": 0.5, "drain_grace_ns": 1_000_000_000u64, "fall_multiple": 3.0,
+                  "overload_for_ns": 1_000_000_000u64, "warm_up_ns": 1_000_000_000u64}
+    })
+}
+
+/// A node's process.
+pub struct Node {
+    child: Child,
+    log: BufReader<ChildStderr>,
+    pub address: SocketAddr,
+}
+
+/// Starts a process with a configuration's text.
+pub fn start(config: &str) -> Child {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let path = path.join(format!("{}-{number}.json", std::process::id()));
+    std::fs::write(&path, config).expect("a configuration file");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_birchswitch"));
+    command.env_clear().env("GW_CONFIG", path).stderr(Stdio::piped()).kill_on_drop(true);
+    command.spawn().expect("a process")
+}
+
+impl Node {
+    /// Starts a node with these settings and limits; the list it knows is empty.
+    pub async fn with(discovery: &Peer, settings: Value, sockets: u32) -> Self {
+        let config = json!({
+            "name": "n", "listen": "127.0.0.1:0", "discovery": discovery.address().to_string(), "seed": "1f",
+            "limits": {"sockets": sockets, "memory_mb": 192}, "settings": settings,
+        });
+        let mut child = start(&config.to_string());
+        let log = BufReader::new(child.stderr.take().expect("its log"));
+        let mut node = Node { child, log, address: ([127, 0, 0, 1], 0).into() };
+        let line = node.logged("listening on ").await;
+        node.address = line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+        node
+    }
+
+    /// A node with the usual settings that has taken a list of these servers.
+    pub async fn serving(servers: &[(&str, &Peer)]) -> (Self, Peer, Watch) {
+        let discovery = Peer::new().await;
+        let node = Node::with(&discovery, settings(), 1024).await;
+        let (mut watch, _) = discovery.watch().await;
+        let members: Vec<Value> = servers.iter().map(|s| member(s.0, s.1.address(), "active")).collect();
+        watch.list(1, true, &members).await;
+        node.ready().await;
+        (node, discovery, watch)
+    }
+
+    /// Waits until the node says that it is ready.
+    pub async fn ready(&self) {
+        while self.get("/health/ready").await.status() != 200 {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
+    pub async fn client(&self) -> Wire {
+        Wire::connect(self.address).await
+    }
+
+    pub async fn get(&self, path: &str) -> Message {
+        let mut client = self.client().await;
+        client.write(&format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n")).await;
+        client.read().await.expect("an answer")
+    }
+
+    /// The first line of its log, from here on, that holds this.
+    pub async fn logged(&mut self, text: &str) -> String {
+        loop {
+            let mut line = String::new();
+            let read = within("a line of the log", self.log.read_line(&mut line)).await.expect("its log");
+            assert!(read > 0, "the log ended before {text:?}");
+            if line.contains(text) {
+                return line.trim_end().to_owned();
+            }
+        }
+    }
+
+    /// Its open descriptors.
+    pub fn descriptors(&self) -> usize {
+        let pid = self.child.id().expect("it runs");
+        std::fs::read_dir(format!("/proc/{pid}/fd")).expect("its descriptors").count()
+    }
+
+    pub async fn terminate(&self) {
+        let pid = self.child.id().expect("it runs").to_string();
+        let status = Command::new("kill").args(["-TERM", &pid]).status().await.expect("kill");
+        assert!(status.success());
+    }
+
+    pub async fn exited(&mut self) -> ExitStatus {
+        within("the node's end", self.child.wait()).await.expect("its status")
+    }
+}
