--- /dev/null
+++ b/node/tests/clients.rs
@@ -0,0 +1,177 @@
+//! What clients may do to a node, and what it does at its end.
+
+mod common;
+use common::*;
+use serde_json::json;
+
+/// Nonsense is answered as such, and costs nobody else anything.
+#[tokio::test]
+async fn bad_requests_are_turned_down() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let with = |class: &str, headers: &str| format!("POST /{class} HTTP/1.1\r\nHost: a\r\n{headers}\r\n");
+    let fine = "X-Request-ID: r\r\nX-Tenant-Id: one\r\nContent-Length: 0\r\n";
+    let cases = [
+        "\x01\x02\r\n\r\n".to_owned(),
+        "GET\r\n\r\n".to_owned(),
+        with("unheard-of", &format!("X-Timeout: 900m\r\n{fine}")),
+        with("", &format!("X-Timeout: 900m\r\n{fine}")),
+        with("unsafe", fine),
+        with("unsafe", &format!("X-Timeout: soon\r\n{fine}")),
+        with("unsafe", &format!("X-Timeout: 0m\r\n{fine}")),
+        with("unsafe", &format!("X-Timeout: -3m\r\n{fine}")),
+        with("unsafe", "X-Timeout: 900m\r\nX-Tenant-Id: one\r\nContent-Length: 0\r\n"),
+        with("unsafe", "X-Timeout: 900m\r\nX-Request-ID: r\r\nX-Tenant-Id: two\r\nContent-Length: 0\r\n"),
+        with("keyed", &format!("X-Timeout: 900m\r\n{fine}")),
+        with("unsafe", "X-Timeout: 900m\r\nX-Request-ID: r\r\nX-Tenant-Id: one\r\nContent-Length: 70000\r\n"),
+        with("unsafe", "X-Timeout: 900m\r\nX-Request-ID: r\r\nX-Tenant-Id: one\r\nContent-Length: x\r\n"),
+        format!("GET /unsafe HTTP/1.1\r\nX-Long: {}\r\n\r\n", "a".repeat(100_000)),
+    ];
+    for case in cases {
+        let mut client = node.client().await;
+        client.write(&case).await;
+        if case.contains("70000") {
+            client.write(&"x".repeat(70_000)).await;
+        }
+        // A node that has read enough may close before the client has written all of it.
+        let Some(answer) = client.read().await else { continue };
+        let status = answer.status();
+        assert!((400..500).contains(&status) && status != 429, "{status} for {case:.60}");
+    }
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    let (mut wire, _) = server.request().await;
+    wire.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+}
+
+/// Idle connections and heads that never end keep nobody out, and never use up the descriptors.
+#[tokio::test]
+async fn more_connections_than_descriptors() {
+    let server = Peer::new().await;
+    let discovery = Peer::new().await;
+    let node = Node::with(&discovery, settings(), 64).await;
+    let (mut watch, _) = discovery.watch().await;
+    watch.list(1, true, &[member("s", server.address(), "active")]).await;
+    node.ready().await;
+    let mut crowd = Vec::new();
+    for k in 0..100 {
+        let mut client = node.client().await;
+        if k % 2 == 0 {
+            client.write("POST /unsafe HT").await;
+        }
+        crowd.push(client);
+    }
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    let (mut wire, _) = server.request().await;
+    assert!(node.descriptors() <= 64);
+    wire.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+}
+
+/// More servers than descriptors: idle connections are closed for new ones, and the node's own shortage never passes
+/// for a server's failure.
+#[tokio::test]
+async fn more_servers_than_descriptors() {
+    let discovery = Peer::new().await;
+    let node = Node::with(&discovery, settings(), 64).await;
+    let mut servers = Vec::new();
+    for _ in 0..40 {
+        servers.push(Peer::new().await);
+    }
+    let (mut watch, _) = discovery.watch().await;
+    let list = |only: usize| vec![member(&format!("s{only}"), servers[only].address(), "active")];
+    let all: Vec<_> = (0..servers.len()).flat_map(list).collect();
+    watch.list(1, true, &all).await;
+    node.ready().await;
+    let mut wires = Vec::new();
+    let mut client = node.client().await;
+    for k in 0..servers.len() {
+        // All but one drain, and keep their connections until they are gone.
+        let phases = (0..servers.len()).map(|s| {
+            member(&format!("s{s}"), servers[s].address(), if s == k { "active" } else { "leaving" })
+        });
+        watch.list(2 + k as u64, false, &phases.collect::<Vec<_>>()).await;
+        node.get("/health/live").await;
+        client.send("unsafe", "20000m").await;
+        let (mut wire, _) = servers[k].request().await;
+        wire.answer("200 OK", "", "").await;
+        assert_eq!(client.read().await.expect("an answer").status(), 200);
+        wires.push(wire);
+    }
+    assert!(node.descriptors() <= 64);
+}
+
+/// A connection is closed by the node well before the server would: a request that crosses that may be lost.
+#[tokio::test]
+async fn idle_connections_are_retired() {
+    let server = Peer::new().await;
+    let discovery = Peer::new().await;
+    let mut settings = settings();
+    settings["limits"]["conn_idle_ns"] = json!(400_000_000);
+    let node = Node::with(&discovery, settings, 1024).await;
+    let (mut watch, _) = discovery.watch().await;
+    watch.list(1, true, &[member("s", server.address(), "active")]).await;
+    node.ready().await;
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    let (mut wire, _) = server.request().await;
+    wire.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+    wire.closed().await;
+}
+
+/// What a node has taken when it is told to end, and what still comes for a moment, is answered first.
+#[tokio::test]
+async fn a_signal_ends_the_node_after_its_last_answer() {
+    let server = Peer::new().await;
+    let (mut node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let mut idle = node.client().await;
+    let mut before = node.client().await;
+    before.send("unsafe", "20000m").await;
+    let (mut first, _) = server.request().await;
+    node.terminate().await;
+    node.logged("leaving").await;
+    assert_eq!(node.get("/health/ready").await.status(), 503);
+    let mut after = node.client().await;
+    after.send("unsafe", "20000m").await;
+    let (mut second, _) = server.request().await;
+    idle.closed().await; // It takes no more.
+    for (wire, client) in [(&mut first, &mut before), (&mut second, &mut after)] {
+        wire.answer("200 OK", "", "served").await;
+        let answer = client.read().await.expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    }
+    assert!(node.exited().await.success());
+}
+
+#[tokio::test]
+async fn a_bad_configuration_is_told_in_one_line() {
+    let good = json!({
+        "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1f", "settings": settings(),
+    });
+    let mut cases = vec!["{".to_owned(), "[]".to_owned()];
+    for (key, value) in [
+        ("listen", json!("here")),
+        ("listen", json!(null)),
+        ("discovery", json!(7)),
+        ("seed", json!("xyz")),
+        ("settings", json!({})),
+        ("limits", json!({"sockets": 3})),
+        ("known", json!([])),
+    ] {
+        let mut bad = good.clone();
+        bad[key] = value;
+        cases.push(bad.to_string());
+    }
+    let mut bad = good.clone();
+    bad["settings"]["zone"] = json!(9);
+    cases.push(bad.to_string());
+    for case in cases {
+        let output = within("its end", start(&case).wait_with_output()).await.expect("its output");
+        let told = String::from_utf8(output.stderr).expect("text");
+        assert!(!output.status.success(), "{case}");
+        assert_eq!(told.lines().count(), 1, "{case}: {told}");
+    }
+}
--- /dev/null
+++ b/node/tests/lists.rs
@@ -0,0 +1,172 @@
+//! The list of servers: what the node makes of it, and how it keeps hearing of it.
+
+mod common;
+use common::*;
+use serde_json::json;
+
+/// Whole lists drop what they don't name; changes drop what has left; an address may change under the same id.
+#[tokio::test]
+async fn requests_follow_the_list() {
+    let (one, two) = (Peer::new().await, Peer::new().await);
+    let (node, _discovery, mut watch) = Node::serving(&[("one", &one)]).await;
+    let mut client = node.client().await;
+    let (mut at_one, mut at_two);
+
+    client.send("unsafe", "20000m").await;
+    (at_one, _) = one.request().await;
+    at_one.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+
+    watch.list(2, true, &[member("two", two.address(), "active")]).await;
+    at_one.closed().await; // Nothing more goes to a server that is gone.
+    client.send("unsafe", "20000m").await;
+    (at_two, _) = two.request().await;
+    at_two.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+
+    watch.list(3, false, &[member("two", one.address(), "active")]).await;
+    at_two.closed().await;
+    client.send("unsafe", "20000m").await;
+    (at_one, _) = one.request().await;
+    at_one.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+
+    watch.list(4, false, &[json!({"id": "two", "phase": "left"})]).await;
+    at_one.closed().await;
+    assert_eq!(client.ask("unsafe").await.expect("an answer").status(), 503);
+}
+
+/// A restart under the same id leaves no connection worth keeping, though a dead machine's look open.
+#[tokio::test]
+async fn a_restart_abandons_connections() {
+    let server = Peer::new().await;
+    let (node, _discovery, mut watch) = Node::serving(&[("s", &server)]).await;
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    let (mut old, _) = server.request().await;
+    old.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+    let mut entry = member("s", server.address(), "active");
+    entry["up_since_ms"] = json!(1_700_000_000_000u64);
+    watch.list(2, false, &[entry.clone()]).await;
+    old.closed().await;
+    client.send("unsafe", "20000m").await;
+    let (mut new, _) = server.request().await;
+    new.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+    // The same start told once more is no restart.
+    watch.list(3, true, &[entry]).await;
+    client.send("unsafe", "20000m").await;
+    new.read().await.expect("the next request on the same connection");
+}
+
+/// Connecting takes time: word of a drain that comes meanwhile keeps the request back, and since it was never sent
+/// even an unsafe one may be refused.
+#[tokio::test]
+async fn a_drain_told_while_connecting_keeps_the_request_back() {
+    // A full queue of connections lets a further one wait until the kernel asks again.
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let listener = socket.listen(1).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let discovery = Peer::new().await;
+    let node = Node::with(&discovery, settings(), 1024).await;
+    let (mut watch, _) = discovery.watch().await;
+    watch.list(1, true, &[member("s", address, "active")]).await;
+    node.ready().await;
+    let mut filling = Vec::new();
+    while let Ok(wire) =
+        tokio::time::timeout(std::time::Duration::from_millis(300), tokio::net::TcpStream::connect(address))
+            .await
+    {
+        filling.push(wire.expect("a connection"));
+    }
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    node.get("/health/live").await; // The request has been read, and its connection is under way.
+    watch.list(2, false, &[member("s", address, "leaving")]).await;
+    node.get("/health/live").await;
+    for _ in 0..filling.len() {
+        within("a connection", listener.accept()).await.expect("a connection");
+    }
+    let answer = client.read().await.expect("an answer");
+    assert_eq!(answer.status(), 503);
+    let (stream, _) = within("the node's connection", listener.accept()).await.expect("a connection");
+    drop(client);
+    drop(node);
+    let mut read = Vec::new();
+    let mut stream = stream;
+    let _ = within("its end", tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut read)).await;
+    assert!(read.is_empty(), "sent to a draining server: {:?}", String::from_utf8_lossy(&read));
+}
+
+/// A line that makes no sense is logged and changes nothing; what came after the last good one is asked for anew.
+#[tokio::test]
+async fn a_bad_line_leaves_the_list_as_it_was() {
+    let server = Peer::new().await;
+    let bad = [
+        "not json".to_owned(),
+        r#"{"revision":9,"complete":true,"members":[{"id":"s","phase":"active"}]}"#.to_owned(),
+        r#"{"revision":9,"complete":true,"members":[{"id":"s","host_port":"nowhere","phase":"active"}]}"#
+            .to_owned(),
+        r#"{"revision":-1,"complete":true,"members":[]}"#.to_owned(),
+    ];
+    let (mut node, discovery, mut watch) = Node::serving(&[("s", &server)]).await;
+    for line in bad {
+        watch.line(&line).await;
+        node.logged("unusable line").await;
+        let (next, request) = discovery.watch().await;
+        assert_eq!(request, "GET /registry/instances?follow=1&since=1 HTTP/1.1");
+        watch = next;
+        let mut client = node.client().await;
+        client.send("unsafe", "20000m").await;
+        let (mut wire, _) = server.request().await;
+        wire.answer("200 OK", "Connection: close\r\n", "").await;
+        assert_eq!(client.read().await.expect("an answer").status(), 200);
+    }
+}
+
+/// An empty line is due every 2 s. A watch that has nothing to say any more may be cut off, and news that it misses
+/// counts as told all the same.
+#[tokio::test]
+async fn a_silent_watch_is_opened_again() {
+    let server = Peer::new().await;
+    let (_node, discovery, mut watch) = Node::serving(&[("s", &server)]).await;
+    let (_next, request) = discovery.watch().await;
+    assert_eq!(request, "GET /registry/instances?follow=1&since=1 HTTP/1.1");
+    watch.0.closed().await;
+}
+
+#[tokio::test]
+async fn a_failed_or_broken_watch_is_opened_again() {
+    let server = Peer::new().await;
+    let (node, discovery, watch) = Node::serving(&[("s", &server)]).await;
+    drop(watch);
+    let (mut wire, _) = discovery.request().await;
+    wire.answer("503 Service Unavailable", "", "").await;
+    let (mut watch, _) = discovery.watch().await;
+    // A list may come in pieces.
+    let list = json!({"revision": 2, "complete": true, "members": []}).to_string();
+    let (a, b) = list.split_at(11);
+    watch.0.write(&format!("{:x}\r\n{a}\r\n", a.len())).await;
+    watch.0.write(&format!("1\r\n\n\r\n{:x}\r\n{b}\n\r\n", b.len() + 1).replacen("1\r\n\n\r\n", "", 1)).await;
+    drop(server);
+    assert_eq!(node.client().await.ask("unsafe").await.expect("an answer").status(), 503);
+}
+
+/// Where lists come on request, the balancer says when to ask; the end of a watch is a failed call.
+#[tokio::test]
+async fn asked_discovery_is_asked_when_the_balancer_says_so() {
+    let server = Peer::new().await;
+    let discovery = Peer::new().await;
+    let mut settings = settings();
+    settings["registry_mode"] = json!("subscribe");
+    let node = Node::with(&discovery, settings, 1024).await;
+    assert_eq!(node.get("/health/ready").await.status(), 503);
+    let (mut wire, _) = discovery.request().await;
+    wire.answer("503 Service Unavailable", "", "").await;
+    let (mut watch, request) = discovery.watch().await;
+    assert_eq!(request, "GET /registry/instances?follow=1&since=0 HTTP/1.1");
+    watch.list(1, true, &[member("s", server.address(), "active")]).await;
+    node.ready().await;
+}
