Node: survive a log that nobody reads; make two tests bite

Seen: with eprintln! a closed standard error ends the task that logs (the watch's, in engine.rs log()), so the node never hears of the list again; a_closed_log_is_survived fails with it and passes with the mend.

--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -16,6 +16,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::fmt;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -143,7 +144,8 @@
 
     /// A line for the node's log.
     pub fn log(&self, line: fmt::Arguments) {
-        eprintln!("{}: {line}", self.name);
+        // Nobody may be left to read it: that is no reason to stop serving, which `eprintln!` would make of it.
+        let _ = writeln!(std::io::stderr(), "{}: {line}", self.name);
     }
 
     /// The names that the settings give to classes, tenants and so on.
--- a/node/tests/clients.rs
+++ b/node/tests/clients.rs
@@ -175,3 +175,20 @@
         assert_eq!(told.lines().count(), 1, "{case}: {told}");
     }
 }
+
+/// A log that nobody reads any more must not end the node: writing to it fails from then on.
+#[tokio::test]
+async fn a_closed_log_is_survived() {
+    let server = Peer::new().await;
+    let (mut node, discovery, mut watch) = Node::serving(&[("s", &server)]).await;
+    node.close_log();
+    for _ in 0..2 {
+        watch.line("not json").await; // Logged, and the watch is opened again after that.
+        (watch, _) = discovery.watch().await;
+    }
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    let (mut wire, _) = server.request().await;
+    wire.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+}
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -176,7 +176,7 @@
         "balancers": 1, "zone": 0, "zones": ["here"], "kinds": ["std"], "registry_mode": "automatic",
         "profiles": [class("safe", "free"), class("keyed", "guarded"), class("unsafe", "single_shot")],
         "tenants": [{"name": "one", "quota_per_s": 1000.0, "share": 1.0}],
-        "limits": {"try_limit": 3, "conn_idle_ns": 15_000_000_000u64, "connect_timeout_ns": 5_000_000_000u64,
+        "limits": {"try_limit": 3, "conn_idle_ns": 300_000_000_000u64, "connect_timeout_ns": 5_000_000_000u64,
                    "may_cancel": true, "may_probe": true, "retry_after": true, "max_retry_after_ns": 1_500_000_000u64},
         "report": {"how": "silent"},
         "rules": {"cold_from": 0.5, "drain_grace_ns": 1_000_000_000u64, "fall_multiple": 3.0,
@@ -187,7 +187,7 @@
 /// A node's process.
 pub struct Node {
     child: Child,
-    log: BufReader<ChildStderr>,
+    log: Option<BufReader<ChildStderr>>,
     pub address: SocketAddr,
 }
 
@@ -211,7 +211,7 @@
             "limits": {"sockets": sockets, "memory_mb": 192}, "settings": settings,
         });
         let mut child = start(&config.to_string());
-        let log = BufReader::new(child.stderr.take().expect("its log"));
+        let log = child.stderr.take().map(BufReader::new);
         let mut node = Node { child, log, address: ([127, 0, 0, 1], 0).into() };
         let line = node.logged("listening on ").await;
         node.address = line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
@@ -248,9 +248,10 @@
 
     /// The first line of its log, from here on, that holds this.
     pub async fn logged(&mut self, text: &str) -> String {
+        let log = self.log.as_mut().expect("its log");
         loop {
             let mut line = String::new();
-            let read = within("a line of the log", self.log.read_line(&mut line)).await.expect("its log");
+            let read = within("a line of the log", log.read_line(&mut line)).await.expect("its log");
             assert!(read > 0, "the log ended before {text:?}");
             if line.contains(text) {
                 return line.trim_end().to_owned();
@@ -258,6 +259,11 @@
         }
     }
 
+    /// Leaves nobody to read its log.
+    pub fn close_log(&mut self) {
+        self.log = None;
+    }
+
     /// Its open descriptors.
     pub fn descriptors(&self) -> usize {
         let pid = self.child.id().expect("it runs");
