Node: keep a keyed repeat back once its window has passed

Seen in review: the balancer checks the window when it decides (logic.rs, open()), and connecting may take up to connect_timeout after that (backend.rs, attempt()). The test lets a connection come up only after the window; without the check the repeat goes out, with it the request fails. Lines at fault: the look before the first byte asked only for drains.

--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -294,11 +294,13 @@
     }
 
     // ---- attempts and probes ----
-    /// Sends one request and reads its answer, until `until` at the latest. Never sends it again.
+    /// Sends one request, before `send_by` if that is given, and reads its answer, until `until` at the latest. Never
+    /// sends it again.
     pub async fn attempt(
         &self,
         server: &Server,
         mut request: Request<Full<Bytes>>,
+        send_by: Option<Instant>,
         until: Instant,
     ) -> Exchange {
         let sent = Cell::new(false);
@@ -307,8 +309,9 @@
                 Ok(connection) => connection,
                 Err(outcome) => return Exchange::failed(outcome),
             };
-            // Connecting took time, in which word may have come that the server drains: it gets nothing new.
-            if !server.takes_new() {
+            // Connecting took time, in which word may have come that the server drains: it gets nothing new. Or the
+            // time may have passed for which duplicates are dropped.
+            if !server.takes_new() || send_by.is_some_and(|by| Instant::now() >= by) {
                 self.give_back(server, connection).await;
                 return Exchange::failed(Outcome::NotSent);
             }
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -7,8 +7,8 @@
 use crate::discovery::{self, ServerList};
 use bytes::Bytes;
 use finchvale::{
-    Action, Arrival, Balancer, ClassId, Ended, Event, ListKind, Outcome, Probed, RequestId, ServerId,
-    Settings, SettingsError, TenantId, Time,
+    Action, Arrival, Balancer, Class, ClassId, Effect, Ended, Event, ListKind, Outcome, Probed, RequestId,
+    ServerId, Settings, SettingsError, TenantId, Time,
 };
 use http_body_util::Full;
 use hyper::{Request, Response};
@@ -77,6 +77,8 @@
 struct Entry {
     request: Request<Bytes>,
     due: Instant,
+    /// For how long a request of a keyed class may be repeated.
+    window: Option<Duration>,
     /// Taken by the one final answer, or by the client's leaving.
     reply: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
@@ -85,6 +87,8 @@
 struct Attempt {
     server: ServerId,
     began: Instant,
+    /// False once it is known that it did not run and will not.
+    may_have_run: bool,
     /// None once it has ended.
     task: Option<AbortHandle>,
 }
@@ -106,6 +110,8 @@
     clock: Clock,
     backends: Rc<Backends>,
     discovery: SocketAddr,
+    /// By class: for how long its requests may be repeated, if they carry keys.
+    windows: Vec<Option<Duration>>,
     state: RefCell<State>,
     revision: Cell<u64>,
     lists_taken: Cell<u64>,
@@ -122,6 +128,11 @@
         discovery: SocketAddr,
     ) -> Result<Rc<Self>, SettingsError> {
         let clock = Clock::new();
+        let window = |c: &Class| match c.effect {
+            Effect::Keyed { window, .. } => Some(window),
+            Effect::Safe | Effect::Unsafe => None,
+        };
+        let windows = settings.classes.iter().map(window).collect();
         let state = State {
             balancer: Balancer::new(settings, seed, clock.now())?,
             events: VecDeque::new(),
@@ -135,6 +146,7 @@
             clock,
             backends,
             discovery,
+            windows,
             state: RefCell::new(state),
             revision: Cell::new(0),
             lists_taken: Cell::new(0),
@@ -197,7 +209,8 @@
         let id = RequestId(state.next_request);
         state.next_request += 1;
         let Incoming { class, tenant, work, due, request } = incoming;
-        let entry = Entry { request, due, reply: Some(reply), attempts: Vec::new() };
+        let window = self.windows.get(usize::from(class.0)).copied().flatten();
+        let entry = Entry { request, due, window, reply: Some(reply), attempts: Vec::new() };
         state.ledger.insert(id, entry);
         drop(state);
         let remaining = due.saturating_duration_since(Instant::now());
@@ -223,6 +236,7 @@
         if a.task.take().is_none() {
             return; // Cancelled meanwhile: its end is told already.
         }
+        a.may_have_run = !exchange.outcome.never_ran();
         let (server, latency) = (a.server, a.began.elapsed());
         if let Some(answer) = exchange.answer.take() {
             // The first answer closes the request; a later one is the copy's and is dropped.
@@ -293,24 +307,27 @@
         let attempt = entry.attempts.len() as u32;
         let backend = self.backends.get(server).filter(|_| entry.reply.is_some());
         let Some(backend) = backend else {
-            entry.attempts.push(Attempt { server, began, task: None });
+            entry.attempts.push(Attempt { server, began, may_have_run: false, task: None });
             let (outcome, latency, closed) = (Outcome::NotSent, Duration::ZERO, entry.reply.is_none());
             let report = None;
             let ended = Ended { request, attempt, server, outcome, latency, closed, report };
             return state.events.push_back(Event::Ended(ended));
         };
         let until = limit.map_or(entry.due, |limit| entry.due.min(began + limit));
+        // The balancer looks at the window when it decides; connecting takes time after that.
+        let risky = entry.attempts.iter().find(|a| a.may_have_run);
+        let send_by = risky.and_then(|a| Some(a.began + entry.window?));
         let outgoing = entry.request.clone().map(Full::new);
         let (me, backends) = (self.me.clone(), self.backends.clone());
         let task = spawn_local(async move {
-            let mut exchange = backends.attempt(&backend, outgoing, until).await;
+            let mut exchange = backends.attempt(&backend, outgoing, send_by, until).await;
             let connection = exchange.connection.take();
             me.upgrade().iter().for_each(|e| e.attempt_ended(request, attempt, &mut exchange));
             if let Some(connection) = connection {
                 backends.give_back(&backend, connection).await;
             }
         });
-        entry.attempts.push(Attempt { server, began, task: Some(task.abort_handle()) });
+        entry.attempts.push(Attempt { server, began, may_have_run: true, task: Some(task.abort_handle()) });
     }
 
     fn cancel(state: &mut State, request: RequestId, attempt: u32) {
--- a/node/tests/lists.rs
+++ b/node/tests/lists.rs
@@ -64,23 +64,12 @@
 /// even an unsafe one may be refused.
 #[tokio::test]
 async fn a_drain_told_while_connecting_keeps_the_request_back() {
-    // A full queue of connections lets a further one wait until the kernel asks again.
-    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
-    let listener = socket.listen(1).expect("a listener");
-    let address = listener.local_addr().expect("an address");
+    let (listener, address, filling) = full_listener().await;
     let discovery = Peer::new().await;
     let node = Node::with(&discovery, settings(), 1024).await;
     let (mut watch, _) = discovery.watch().await;
     watch.list(1, true, &[member("s", address, "active")]).await;
     node.ready().await;
-    let mut filling = Vec::new();
-    while let Ok(wire) =
-        tokio::time::timeout(std::time::Duration::from_millis(300), tokio::net::TcpStream::connect(address))
-            .await
-    {
-        filling.push(wire.expect("a connection"));
-    }
     let mut client = node.client().await;
     client.send("unsafe", "20000m").await;
     node.get("/health/live").await; // The request has been read, and its connection is under way.
@@ -100,6 +89,52 @@
     assert!(read.is_empty(), "sent to a draining server: {:?}", String::from_utf8_lossy(&read));
 }
 
+/// A listener whose queue of connections is full, which lets a further one wait until the kernel asks again.
+async fn full_listener() -> (tokio::net::TcpListener, std::net::SocketAddr, Vec<tokio::net::TcpStream>) {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let listener = socket.listen(1).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let patience = std::time::Duration::from_millis(300);
+    let mut filling = Vec::new();
+    while let Ok(stream) = tokio::time::timeout(patience, tokio::net::TcpStream::connect(address)).await {
+        filling.push(stream.expect("a connection"));
+    }
+    (listener, address, filling)
+}
+
+/// Duplicates are dropped only for a while: a connection that comes up after that carries no repeat.
+#[tokio::test]
+async fn a_repeat_is_kept_back_once_its_window_has_passed() {
+    let first = Peer::new().await;
+    let (listener, address, filling) = full_listener().await;
+    let discovery = Peer::new().await;
+    let window = std::time::Duration::from_secs(2); // Ample for all that comes before the repeat.
+    let mut settings = settings();
+    settings["profiles"][1]["repeat_window_ns"] = json!(window.as_nanos() as u64);
+    let node = Node::with(&discovery, settings, 1024).await;
+    let (mut watch, _) = discovery.watch().await;
+    watch.list(1, true, &[member("first", first.address(), "active")]).await;
+    node.ready().await;
+    let mut client = node.client().await;
+    client.send("keyed", "20000m").await;
+    let (mut wire, _) = first.request().await;
+    watch.list(2, false, &[member("second", address, "active")]).await;
+    node.get("/health/live").await;
+    wire.answer("500 Internal Server Error", "", "").await;
+    tokio::time::sleep(window).await;
+    for _ in 0..filling.len() {
+        within("a connection", listener.accept()).await.expect("a connection");
+    }
+    assert_eq!(client.read().await.expect("an answer").status(), 504);
+    let (mut stream, _) = within("the node's connection", listener.accept()).await.expect("a connection");
+    drop(client);
+    drop(node);
+    let mut read = Vec::new();
+    let _ = within("its end", tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut read)).await;
+    assert!(read.is_empty(), "sent after the window: {:?}", String::from_utf8_lossy(&read));
+}
+
 /// A line that makes no sense is logged and changes nothing; what came after the last good one is asked for anew.
 #[tokio::test]
 async fn a_bad_line_leaves_the_list_as_it_was() {
