Node: make room in a burst of connections; tests: close sockets only while nothing forks

A probe showed the client getting 504: the request was lost to a connection that the test had closed. Ruled out: the node's look at the socket before use (it holds whenever the closing arrives). Cause: tests beside it start nodes, and a child holds copies of all sockets between fork and exec, so the closing came late. Mend: nothing is closed while a process starts (tests/common), and where a test depends on a closing it waits until the node has seen it. The lists of tests are waited for by the revision that /health/live now tells.

A burst that fills all places within one turn left nobody known to be idle, so nobody made room and accept waited for the idle limit of 60 s. Now it is entered at once. Room is made for a sixteenth of the places at a time: a head that has begun gets 100 ms, and one such head at a time let in ten clients a second.

--- a/node/src/frontend.rs
+++ b/node/src/frontend.rs
@@ -31,6 +31,8 @@
 const OVERDUE: u32 = 4;
 /// A connection may wait this long for a request, and a request's head may take this long.
 const IDLE: Duration = Duration::from_secs(60);
+/// Where places are needed, this part of them is made free at a time.
+const EVICTED_PART: u32 = 16;
 /// For what is under way on a connection whose place is needed.
 const LAST_CHANCE: Duration = Duration::from_millis(100);
 /// No client waits for longer.
@@ -132,23 +134,27 @@
         let _ = self.slots.acquire_many(self.most).await;
     }
 
-    /// Room for one more connection. Where there is none, the one that has waited for a request the longest is
-    /// closed, so that idle clients don't keep others out.
+    /// Room for one more connection. Where there is none, those that have waited for a request the longest are
+    /// closed, so that idle clients don't keep others out: several at a time, since a head that has begun gets a
+    /// last chance, and a crowd of such heads would let in only one client in each of these.
     async fn slot(&self) -> OwnedSemaphorePermit {
         if self.slots.available_permits() == 0 {
             let clients = self.clients.borrow();
-            let idle = clients.values().filter_map(|c| Some((c.idle.get()?, c)));
-            idle.min_by_key(|c| c.0).iter().for_each(|c| c.1.close.notify_one());
+            let mut idle: Vec<_> = clients.values().filter_map(|c| Some((c.idle.get()?, c))).collect();
+            idle.sort_unstable_by_key(|c| c.0);
+            idle.iter().take(self.most.div_ceil(EVICTED_PART) as usize).for_each(|c| c.1.close.notify_one());
         }
         self.slots.clone().acquire_owned().await.expect("the semaphore is never closed")
     }
 
     fn connected(self: Rc<Self>, stream: TcpStream, permit: OwnedSemaphorePermit) {
         let _ = stream.set_nodelay(true);
+        let client = Rc::new(Client { idle: Cell::new(Some(Instant::now())), close: Notify::new() });
+        let id = self.next_client.replace(self.next_client.get() + 1);
+        // Before its task runs: a burst may fill all places within one turn, and where nobody is known to be idle
+        // nobody makes room.
+        self.clients.borrow_mut().insert(id, client.clone());
         spawn_local(async move {
-            let client = Rc::new(Client { idle: Cell::new(Some(Instant::now())), close: Notify::new() });
-            let id = self.next_client.replace(self.next_client.get() + 1);
-            self.clients.borrow_mut().insert(id, client.clone());
             self.serve_connection(stream, &client).await;
             self.clients.borrow_mut().remove(&id);
             drop(permit);
@@ -199,7 +205,9 @@
                 let ready = self.engine.ready() && *self.phase.borrow() == Phase::Serving;
                 return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
             }
-            (&Method::GET, "/health/live") => return plain(StatusCode::OK, ""),
+            (&Method::GET, "/health/live") => {
+                return plain(StatusCode::OK, format!("list {}\n", self.engine.revision()));
+            }
             _ => {}
         }
         let (parts, body) = request.into_parts();
@@ -295,8 +303,8 @@
     target: Uri,
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text.into()));
     *response.status_mut() = status;
     response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response
--- a/node/tests/attempts.rs
+++ b/node/tests/attempts.rs
@@ -105,7 +105,7 @@
         let (mut wire, _) = server.request().await;
         wire.answer("200 OK", "", "").await;
         assert_eq!(client.read().await.expect("an answer").status(), 200);
-        drop(wire);
+        wire.close().await;
     }
 }
 
@@ -148,8 +148,7 @@
         got = one.request() => (got, &two),
         got = two.request() => (got, &one),
     };
-    drop(client);
-    node.get("/health/live").await; // Answered after the node has seen what came before it.
+    client.close().await;
     wire.answer("503 Service Unavailable", "X-Not-Processed: 1\r\n", "").await;
     assert!(other.untouched().await, "sent again");
     let mut client = node.client().await;
--- a/node/tests/clients.rs
+++ b/node/tests/clients.rs
@@ -70,6 +70,28 @@
     assert_eq!(client.read().await.expect("an answer").status(), 200);
 }
 
+/// Connections that come all at once fill every place before any of them has had its turn. Room is made all the same.
+#[tokio::test]
+async fn a_burst_of_idle_connections_keeps_nobody_out() {
+    let server = Peer::new().await;
+    let discovery = Peer::new().await;
+    let node = Node::with(&discovery, settings(), 64).await;
+    let (mut watch, _) = discovery.watch().await;
+    watch.list(1, true, &[member("s", server.address(), "active")]).await;
+    node.ready().await;
+    node.signal("STOP").await;
+    let mut crowd = Vec::new();
+    for _ in 0..100 {
+        crowd.push(node.client().await);
+    }
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    node.signal("CONT").await;
+    let (mut wire, _) = server.request().await;
+    wire.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+}
+
 /// More servers than descriptors: idle connections are closed for new ones, and the node's own shortage never passes
 /// for a server's failure.
 #[tokio::test]
@@ -93,7 +115,7 @@
             member(&format!("s{s}"), servers[s].address(), if s == k { "active" } else { "leaving" })
         });
         watch.list(2 + k as u64, false, &phases.collect::<Vec<_>>()).await;
-        node.get("/health/live").await;
+        node.holds(2 + k as u64).await;
         client.send("unsafe", "20000m").await;
         let (mut wire, _) = servers[k].request().await;
         wire.answer("200 OK", "", "").await;
@@ -131,7 +153,7 @@
     let mut before = node.client().await;
     before.send("unsafe", "20000m").await;
     let (mut first, _) = server.request().await;
-    node.terminate().await;
+    node.signal("TERM").await;
     node.logged("leaving").await;
     assert_eq!(node.get("/health/ready").await.status(), 503);
     let mut after = node.client().await;
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -5,8 +5,10 @@
 use serde_json::{json, Value};
 use std::future::Future;
 use std::net::SocketAddr;
+use std::ops::{Deref, DerefMut};
 use std::process::{ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
@@ -39,12 +41,54 @@
     }
 }
 
+/// Held while a process starts and while a socket is closed. Between fork and exec a child holds copies of all sockets
+/// of the tests beside it, so that one closed meanwhile stays open for its peer: a closing would come late, and a
+/// connection that is to be refused would be taken.
+static STARTING: Mutex<()> = Mutex::new(());
+
+fn nothing_starts() -> MutexGuard<'static, ()> {
+    STARTING.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+/// A socket, or what holds one, that is closed only while no process starts.
+struct Closing<T>(Option<T>);
+
+impl<T> Deref for Closing<T> {
+    type Target = T;
+    fn deref(&self) -> &T {
+        self.0.as_ref().expect("taken only when dropped")
+    }
+}
+
+impl<T> DerefMut for Closing<T> {
+    fn deref_mut(&mut self) -> &mut T {
+        self.0.as_mut().expect("taken only when dropped")
+    }
+}
+
+impl<T> Drop for Closing<T> {
+    fn drop(&mut self) {
+        let _guard = nothing_starts();
+        self.0 = None;
+    }
+}
+
 /// One connection, either way.
-pub struct Wire(BufReader<TcpStream>);
+pub struct Wire(Closing<BufReader<TcpStream>>);
 
 impl Wire {
+    fn new(stream: TcpStream) -> Self {
+        Wire(Closing(Some(BufReader::new(stream))))
+    }
+
     pub async fn connect(address: SocketAddr) -> Self {
-        Wire(BufReader::new(within("a connection", TcpStream::connect(address)).await.expect("a connection")))
+        Wire::new(within("a connection", TcpStream::connect(address)).await.expect("a connection"))
+    }
+
+    /// Closes it, and waits until the other side has seen that and closed as well.
+    pub async fn close(mut self) {
+        self.0.get_mut().shutdown().await.expect("the closing");
+        self.closed().await;
     }
 
     pub async fn write(&mut self, text: &str) {
@@ -109,11 +153,11 @@
 }
 
 /// A listener that a test accepts from by hand.
-pub struct Peer(TcpListener);
+pub struct Peer(Closing<TcpListener>);
 
 impl Peer {
     pub async fn new() -> Self {
-        Peer(TcpListener::bind("127.0.0.1:0").await.expect("a port"))
+        Peer(Closing(Some(TcpListener::bind("127.0.0.1:0").await.expect("a port"))))
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -122,7 +166,7 @@
 
     pub async fn accept(&self) -> Wire {
         let accepted = within("a connection to be accepted", self.0.accept()).await;
-        Wire(BufReader::new(accepted.expect("a connection").0))
+        Wire::new(accepted.expect("a connection").0)
     }
 
     /// A new connection and the first request on it.
@@ -153,7 +197,7 @@
         self.0.write(&format!("{:x}\r\n{line}\n\r\n", line.len() + 1)).await;
     }
 
-    /// Sends a list, and waits until the node has it: what was written before an answered request has been read.
+    /// Sends a list; [`Node::holds`] tells when it has been taken.
     pub async fn list(&mut self, revision: u64, complete: bool, members: &[Value]) {
         let list = json!({"revision": revision, "complete": complete, "members": members});
         self.line(&list.to_string()).await;
@@ -200,6 +244,7 @@
     std::fs::write(&path, config).expect("a configuration file");
     let mut command = Command::new(env!("CARGO_BIN_EXE_birchswitch"));
     command.env_clear().env("GW_CONFIG", path).stderr(Stdio::piped()).kill_on_drop(true);
+    let _guard = nothing_starts();
     command.spawn().expect("a process")
 }
 
@@ -236,6 +281,14 @@
         }
     }
 
+    /// Waits until the node has taken the list of this revision.
+    pub async fn holds(&self, revision: u64) {
+        let told = format!("list {revision}\n");
+        while self.get("/health/live").await.body != told.as_bytes() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
     pub async fn client(&self) -> Wire {
         Wire::connect(self.address).await
     }
@@ -270,10 +323,13 @@
         std::fs::read_dir(format!("/proc/{pid}/fd")).expect("its descriptors").count()
     }
 
-    pub async fn terminate(&self) {
+    pub async fn signal(&self, signal: &str) {
         let pid = self.child.id().expect("it runs").to_string();
-        let status = Command::new("kill").args(["-TERM", &pid]).status().await.expect("kill");
-        assert!(status.success());
+        let spawned = {
+            let _guard = nothing_starts();
+            Command::new("kill").args(["-s", signal, &pid]).spawn()
+        };
+        assert!(within("kill", spawned.expect("kill").wait()).await.expect("its status").success());
     }
 
     pub async fn exited(&mut self) -> ExitStatus {
--- a/node/tests/lists.rs
+++ b/node/tests/lists.rs
@@ -74,7 +74,7 @@
     client.send("unsafe", "20000m").await;
     node.get("/health/live").await; // The request has been read, and its connection is under way.
     watch.list(2, false, &[member("s", address, "leaving")]).await;
-    node.get("/health/live").await;
+    node.holds(2).await;
     for _ in 0..filling.len() {
         within("a connection", listener.accept()).await.expect("a connection");
     }
@@ -120,7 +120,7 @@
     client.send("keyed", "20000m").await;
     let (mut wire, _) = first.request().await;
     watch.list(2, false, &[member("second", address, "active")]).await;
-    node.get("/health/live").await;
+    node.holds(2).await;
     wire.answer("500 Internal Server Error", "", "").await;
     tokio::time::sleep(window).await;
     for _ in 0..filling.len() {
