Node: send nothing over a connection made to where a server was

Seen by reading checkout (backend.rs): it takes the server's address, waits for the connection to come up, and then only asked whether the server takes new requests. Word that it had moved or restarted meanwhile threw away its idle connections but not the one on its way, which then carried the request to what was listed no longer. Checked with a listener whose queue is full while the list changes: the request went to the old address and the client got 504 after its 20 s. Ruled out: idle connections, which the list's change closes (requests_follow_the_list).

Now the connection's generation is compared once more when it is up, for probes too, and the attempt is NotSent. The new test fails without that (504 where 200 or 503 is due).

absurd_figures_are_survived sends well-formed nonsense in lists and reports. It found nothing; it fails if, say, the clock's subtraction does not saturate.

--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -241,6 +241,11 @@
             Ok(Err(error)) if no_descriptors(&error) => return Err(Outcome::NotSent),
             _ => return Err(Outcome::Unreachable),
         };
+        // Word may have come meanwhile that the server moved or restarted: what answers at the address that it had
+        // is another's, or gone.
+        if generation != server.generation.get() {
+            return Err(Outcome::NotSent);
+        }
         let _ = stream.set_nodelay(true);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MOST_BUFFER);
--- a/node/tests/lists.rs
+++ b/node/tests/lists.rs
@@ -89,6 +89,104 @@
     assert!(read.is_empty(), "sent to a draining server: {:?}", String::from_utf8_lossy(&read));
 }
 
+/// Word of a move that comes while connecting: what listens at the old address is not that server any more.
+#[tokio::test]
+async fn a_move_told_while_connecting_sends_nothing_to_the_old_address() {
+    let new = Peer::new().await;
+    let (listener, address, filling) = full_listener().await;
+    let discovery = Peer::new().await;
+    let node = Node::with(&discovery, settings(), 1024).await;
+    let (mut watch, _) = discovery.watch().await;
+    watch.list(1, true, &[member("s", address, "active")]).await;
+    node.ready().await;
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    node.get("/health/live").await; // The request has been read, and its connection is under way.
+    watch.list(2, false, &[member("s", new.address(), "active")]).await;
+    node.holds(2).await;
+    for _ in 0..filling.len() {
+        within("a connection", listener.accept()).await.expect("a connection");
+    }
+    let (mut old, _) = within("the node's connection", listener.accept()).await.expect("a connection");
+    // Whether it goes to the new address or back to the client is the balancer's to say.
+    let answer = tokio::select! {
+        answer = client.read() => answer,
+        (mut wire, _) = new.request() => {
+            wire.answer("200 OK", "", "").await;
+            client.read().await
+        }
+    };
+    assert!([200, 503].contains(&answer.expect("an answer").status()));
+    drop(node);
+    let mut read = Vec::new();
+    let _ = within("its end", tokio::io::AsyncReadExt::read_to_end(&mut old, &mut read)).await;
+    assert!(read.is_empty(), "sent to the old address: {:?}", String::from_utf8_lossy(&read));
+}
+
+/// Figures may be well-formed and absurd: every request still gets an answer, and sane ones bring service back.
+#[tokio::test]
+async fn absurd_figures_are_survived() {
+    let server = Peer::new().await;
+    let discovery = Peer::new().await;
+    let mut settings = settings();
+    settings["report"] = json!({"how": "pull", "fields": ["outstanding", "utilization"]});
+    let node = Node::with(&discovery, settings, 1024).await;
+    let (mut watch, _) = discovery.watch().await;
+    let mut revision = 0;
+    let mut ask = async |key: &str, value: &serde_json::Value, report: &str| {
+        revision += 1;
+        let mut odd = member("s", server.address(), "active");
+        odd[key] = value.clone();
+        // Named twice, beside a sane one and one that nobody knows and that has left.
+        let left = json!({"id": "", "phase": "left"});
+        watch.list(revision, true, &[odd.clone(), odd, member("t", server.address(), "active"), left]).await;
+        node.holds(revision).await;
+        let mut client = node.client().await;
+        client.send("safe", "20000m").await;
+        let answering = async {
+            let mut serving = tokio::task::JoinSet::new();
+            loop {
+                let (mut wire, report) = (server.accept().await, report.to_owned());
+                serving.spawn(async move {
+                    while let Some(request) = wire.read().await {
+                        let body = if request.start.starts_with("GET /stats") { &report } else { "served" };
+                        wire.answer("200 OK", &format!("X-Server-Load: {report}\r\n"), body).await;
+                    }
+                });
+            }
+        };
+        tokio::select! {
+            answer = client.read() => answer.expect("an answer").status(),
+            () = answering => unreachable!("it never ends"),
+        }
+    };
+    for (key, value) in [
+        ("size", json!(-1.0)),
+        ("size", json!(0)),
+        ("size", json!(1e308)),
+        ("size", json!(5e-324)),
+        ("cell", json!(65_535)),
+        ("locality", json!("nowhere")),
+        ("flavor", json!("")),
+        ("up_since_ms", json!(u64::MAX)),
+        ("up_since_ms", json!(1)),
+    ] {
+        for report in [
+            r#"{"outstanding":-9,"utilization":-1e308}"#,
+            r#"{"outstanding":1e308,"utilization":1e308}"#,
+            r#"{"outstanding":5e-324,"utilization":0.0}"#,
+            r#"{"outstanding":{},"utilization":"high"}"#,
+            "[1,2",
+        ] {
+            let status = ask(key, &value, report).await;
+            assert!([200, 503, 504].contains(&status), "{status} for {key} {value} {report}");
+        }
+    }
+    let back =
+        async { while ask("size", &json!(1.0), r#"{"outstanding":0,"utilization":0.1}"#).await != 200 {} };
+    within("service", back).await;
+}
+
 /// A listener whose queue of connections is full, which lets a further one wait until the kernel asks again.
 async fn full_listener() -> (tokio::net::TcpListener, std::net::SocketAddr, Vec<tokio::net::TcpStream>) {
     let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
