Tests: own addresses for servers; read the probe's effect from a row of requests

Seen under load (24 test processes at once on 4 cores): in 2 of 160 runs probes_choose_the_idle_server got no request at the idle server, and in 3 of 320 runs a test met a connection or an answer that was none of its own. Causes: the first test rested on its answers to probes coming within the 50 ms that the node waits; the others on the port of a listener that had ended not being given out again at once.

Now the first waits for twenty requests in a row at the idle server, which late reports only delay (seen to fail when the reports' fields are not read), and every listener has a loopback address of its own.

--- a/node/tests/attempts.rs
+++ b/node/tests/attempts.rs
@@ -172,17 +172,38 @@
     let members = [member("busy", busy.address(), "active"), member("idle", idle.address(), "active")];
     watch.list(1, true, &members).await;
     node.ready().await;
-    for _ in 0..5 {
-        let mut client = node.client().await;
-        client.send("unsafe", "20000m").await;
-        let ((mut busy, b), (mut idle, i)) = tokio::join!(busy.request(), idle.request());
-        assert_eq!((b.start.as_str(), i.start.as_str()), ("GET /stats HTTP/1.1", "GET /stats HTTP/1.1"));
-        busy.answer("200 OK", "", r#"{"outstanding":9,"utilization":1.0,"spare":null}"#).await;
-        idle.answer("200 OK", "", r#"{"spare":"x","outstanding":0,"utilization":0.0}"#).await;
-        let request = idle.read().await.expect("the request at the idle server");
-        assert!(request.start.starts_with("POST /unsafe"));
-        idle.answer("200 OK", "Connection: close\r\n", "").await;
-        assert_eq!(client.read().await.expect("an answer").status(), 200);
-        drop(busy);
+    let (served, mut by) = tokio::sync::mpsc::unbounded_channel();
+    let reports = [
+        (busy, "busy", r#"{"outstanding":9,"utilization":1.0,"spare":null}"#),
+        (idle, "idle", r#"{"spare":"x","outstanding":0,"utilization":0.0}"#),
+    ];
+    for (server, name, report) in reports {
+        let served = served.clone();
+        tokio::spawn(async move {
+            loop {
+                let (mut wire, served) = (server.accept().await, served.clone());
+                tokio::spawn(async move {
+                    while let Some(request) = wire.read().await {
+                        if request.start == "GET /stats HTTP/1.1" {
+                            wire.answer("200 OK", "", report).await;
+                        } else {
+                            wire.answer("200 OK", "", "").await;
+                            let _ = served.send(name);
+                        }
+                    }
+                });
+            }
+        });
     }
+    // On a busy machine a report may come too late to be heeded. Without any, so long a row is a matter of 1 in 10^6.
+    let in_a_row = async {
+        let mut row = 0;
+        while row < 20 {
+            let answer = node.client().await.ask("unsafe").await.expect("an answer");
+            if answer.status() == 200 {
+                row = if by.recv().await == Some("idle") { row + 1 } else { 0 };
+            }
+        }
+    };
+    within("a row of requests at the idle server", in_a_row).await;
 }
--- a/node/tests/clients.rs
+++ b/node/tests/clients.rs
@@ -242,9 +242,7 @@
 async fn a_killed_node_starts_again() {
     let server = Peer::new().await;
     let discovery = Peer::new().await;
-    // An address that no other test uses, so that none is given its port meanwhile.
-    let address = ([127, 0, 0, 2], 0).into();
-    let mut killed = Node::at(address, &discovery, settings(), 1024).await;
+    let mut killed = Node::at(own_address(), &discovery, settings(), 1024).await;
     let (mut watch, _) = discovery.watch().await;
     watch.list(1, true, &[member("s", server.address(), "active")]).await;
     killed.ready().await;
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -152,12 +152,22 @@
     }
 }
 
+/// A loopback address for one use, with the port left to the system. A port is soon given out again: on a shared address,
+/// what is meant for a server that has ended could reach another test's.
+pub fn own_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let process = std::process::id();
+    let octet = |n: u32| u8::try_from(n % 254 + 1).expect("at most 254");
+    let last = NEXT.fetch_add(1, Ordering::Relaxed);
+    ([127, octet(process / 254), octet(process), octet(last)], 0).into()
+}
+
 /// A listener that a test accepts from by hand.
 pub struct Peer(Closing<TcpListener>);
 
 impl Peer {
     pub async fn new() -> Self {
-        Peer(Closing(Some(TcpListener::bind("127.0.0.1:0").await.expect("a port"))))
+        Peer(Closing(Some(TcpListener::bind(own_address()).await.expect("a port"))))
     }
 
     pub fn address(&self) -> SocketAddr {
--- a/node/tests/lists.rs
+++ b/node/tests/lists.rs
@@ -190,7 +190,7 @@
 /// A listener whose queue of connections is full, which lets a further one wait until the kernel asks again.
 async fn full_listener() -> (tokio::net::TcpListener, std::net::SocketAddr, Vec<tokio::net::TcpStream>) {
     let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    socket.bind(own_address()).expect("a port");
     let listener = socket.listen(1).expect("a listener");
     let address = listener.local_addr().expect("an address");
     let patience = std::time::Duration::from_millis(300);
