Tests: memory with every place taken by a large body

Not measured before: whether 256 KiB a request, by which the places for clients are counted (main.rs), is enough. The test fails above the limit that nodes are told.

--- a/node/tests/clients.rs
+++ b/node/tests/clients.rs
@@ -128,6 +128,40 @@
     answering.abort();
 }
 
+/// Every place taken by a body of the largest kind, and each answered with one: memory stays within its limit.
+#[tokio::test]
+async fn large_bodies_at_every_place_fit_into_memory() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let large = "x".repeat(64 << 10);
+    let mut clients = Vec::new();
+    let mut wires = Vec::new();
+    for k in 0..128 {
+        let mut client = node.client().await;
+        let head = "POST /unsafe HTTP/1.1\r\nX-Timeout: 20000m\r\nX-Tenant-Id: one\r\nX-Cost: 1\r\n";
+        client
+            .write(&format!("{head}X-Request-ID: r{k}\r\nContent-Length: {}\r\n\r\n{large}", large.len()))
+            .await;
+        tokio::select! {
+            (wire, request) = server.request() => {
+                assert_eq!(request.body.len(), large.len());
+                wires.push(wire);
+                clients.push(client);
+            }
+            answer = client.read() => assert_eq!(answer.expect("an answer").status(), 503),
+        }
+    }
+    let held = wires.len();
+    for wire in &mut wires {
+        wire.answer("200 OK", "", &large).await;
+    }
+    for client in &mut clients {
+        assert_eq!(client.read().await.expect("an answer").body.len(), large.len());
+    }
+    println!("{held} held, peak {} KiB", node.memory_peak());
+    assert!(node.memory_peak() < MEMORY_MB << 10);
+}
+
 /// More servers than descriptors: idle connections are closed for new ones, and the node's own shortage never passes
 /// for a server's failure.
 #[tokio::test]
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -238,6 +238,9 @@
     })
 }
 
+/// What nodes are told that they may use: it holds 128 clients with large bodies.
+pub const MEMORY_MB: u64 = 64;
+
 /// A node's process.
 pub struct Node {
     child: Child,
@@ -268,7 +271,7 @@
     pub async fn at(address: SocketAddr, discovery: &Peer, settings: Value, sockets: u32) -> Self {
         let config = json!({
             "name": "n", "listen": address.to_string(), "discovery": discovery.address().to_string(), "seed": "1f",
-            "limits": {"sockets": sockets, "memory_mb": 192}, "settings": settings,
+            "limits": {"sockets": sockets, "memory_mb": MEMORY_MB}, "settings": settings,
         });
         let mut child = start(&config.to_string());
         let log = child.stderr.take().map(BufReader::new);
@@ -338,6 +341,14 @@
         std::fs::read_dir(format!("/proc/{pid}/fd")).expect("its descriptors").count()
     }
 
+    /// The most memory that it has held so far, in KiB.
+    pub fn memory_peak(&self) -> u64 {
+        let pid = self.child.id().expect("it runs");
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("its status");
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("its peak");
+        peak.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     pub async fn signal(&self, signal: &str) {
         let pid = self.child.id().expect("it runs").to_string();
         let spawned = {
