Node: on SIGHUP read the configuration again and follow its discovery

Checked: 129 is death by SIGHUP; main.rs installed handlers for SIGTERM and SIGINT only.

At fault: run() in main.rs; Config::read, where a variable always prevails; Engine::discovery and discovery::follow, fixed to one address for good.

Now the file is read and checked whole, a bad one logged and left unused. A new address ends the old watch, is asked for its whole list and watched from that version (asked discovery too). The tests in reload.rs fail without it: the node is gone at the first signal.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -36,6 +36,14 @@
         /// What is wrong, and where.
         source: settings::ConfigError,
     },
+    /// The settings can be read but don't make sense.
+    #[error("{path}: {source}")]
+    Figures {
+        /// The file.
+        path: String,
+        /// What makes no sense.
+        source: finchvale::SettingsError,
+    },
     /// A value that is given neither as a variable nor in the file.
     #[error("neither {variable} nor the configuration's `{key}` is given")]
     Missing {
@@ -64,6 +72,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// The file's word on that, which counts when the file is read again.
+    pub discovery_in_file: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// File descriptors that the process may hold.
@@ -125,13 +135,20 @@
             serde_json::from_str(text).map_err(|source| ConfigError::Json { path: path(), source })?;
         let site = settings::parse(file.settings.get().as_bytes())
             .map_err(|source| ConfigError::Settings { path: path(), source })?;
-        let address = |name: &'static str, key: &'static str, given: Option<String>| {
-            let value = variable(name).or(given).ok_or(ConfigError::Missing { variable: name, key })?;
+        site.settings.check().map_err(|source| ConfigError::Figures { path: path(), source })?;
+        // Both are checked wherever they are given: what is not used now may be at the next reading.
+        let address = |key: &'static str, value: Option<String>| {
             let wanted = "an address and port";
-            value.parse().map_err(|_| ConfigError::Senseless { what: key, value, wanted })
+            value
+                .map(|v| v.parse().map_err(|_| ConfigError::Senseless { what: key, value: v, wanted }))
+                .transpose()
+        };
+        let either = |name: &'static str, key: &'static str, in_file: Option<SocketAddr>| {
+            address(key, variable(name))?.or(in_file).ok_or(ConfigError::Missing { variable: name, key })
         };
-        let listen = address("GW_LISTEN", "listen", file.listen)?;
-        let discovery = address("GW_DISCOVERY", "discovery", file.discovery)?;
+        let listen = either("GW_LISTEN", "listen", address("listen", file.listen)?)?;
+        let discovery_in_file = address("discovery", file.discovery)?;
+        let discovery = either("GW_DISCOVERY", "discovery", discovery_in_file)?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Senseless {
             what: "seed",
             value: file.seed.clone(),
@@ -146,6 +163,7 @@
             name: variable("GW_NAME").unwrap_or(file.name),
             listen,
             discovery,
+            discovery_in_file,
             seed,
             sockets,
             memory: file.limits.memory_mb.saturating_mul(1 << 20),
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -2,7 +2,7 @@
 
 use crate::engine::Engine;
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Empty};
+use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -112,11 +112,11 @@
 }
 
 /// Keeps a watch open for good, for sites where lists are pushed.
-pub async fn follow(engine: Rc<Engine>, address: SocketAddr) {
+pub async fn follow(engine: Rc<Engine>) {
     let mut pause = PAUSE[0];
     loop {
         let before = engine.lists_taken();
-        let error = watch(&engine, address).await;
+        let error = watch(&engine).await;
         if engine.lists_taken() != before {
             pause = PAUSE[0];
         }
@@ -127,25 +127,68 @@
 }
 
 /// Opens one watch from the version held on and hands on what it brings until it ends.
-pub async fn watch(engine: &Rc<Engine>, address: SocketAddr) -> WatchError {
+pub async fn watch(engine: &Rc<Engine>) -> WatchError {
+    let address = engine.discovery();
+    if engine.needs_whole_list() {
+        // The version held comes from another address and may mean anything here, also one that is newer.
+        match timeout(SILENCE, fetch(address)).await {
+            Ok(Ok(list)) => engine.list(&list),
+            Ok(Err(error)) => return error,
+            Err(_) => return WatchError::Silent,
+        }
+    }
     match run_watch(engine, address).await {
         Ok(()) => WatchError::Ended,
         Err(error) => error,
     }
 }
 
-async fn run_watch(engine: &Rc<Engine>, address: SocketAddr) -> Result<(), WatchError> {
-    let stream = match timeout(CONNECT, TcpStream::connect(address)).await {
-        Ok(stream) => stream.map_err(WatchError::Connect)?,
-        Err(_) => return Err(WatchError::Silent),
+async fn connect(address: SocketAddr) -> Result<TcpStream, WatchError> {
+    match timeout(CONNECT, TcpStream::connect(address)).await {
+        Ok(stream) => stream.map_err(WatchError::Connect),
+        Err(_) => Err(WatchError::Silent),
+    }
+}
+
+fn request(address: SocketAddr, query: &str) -> Request<Empty<Bytes>> {
+    let request = Request::get(format!("/registry/instances{query}")).header("host", address.to_string());
+    request.body(Empty::new()).expect("a fixed path and an address are valid")
+}
+
+/// Asks for the whole list, once.
+async fn fetch(address: SocketAddr) -> Result<ServerList, WatchError> {
+    let (mut sender, connection) = http1::handshake(TokioIo::new(connect(address).await?)).await?;
+    let list = async {
+        let response = sender.send_request(request(address, "")).await?;
+        if response.status() != StatusCode::OK {
+            return Err(WatchError::Status(response.status()));
+        }
+        let body = Limited::new(response.into_body(), LONGEST_LINE).collect().await;
+        let list = ServerList::parse(&body.map_err(|e| WatchError::BadLine(e.to_string()))?.to_bytes())?;
+        match list.complete {
+            true => Ok(list),
+            false => Err(WatchError::BadLine("the list is not complete".to_owned())),
+        }
     };
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let mut connection = std::pin::pin!(connection);
+    let mut list = std::pin::pin!(list);
+    tokio::select! {
+        biased;
+        list = list.as_mut() => list,
+        // The answer may end with its connection: what has come is still to be read.
+        ended = connection.as_mut() => match ended {
+            Ok(()) => list.await,
+            Err(error) => Err(error.into()),
+        },
+    }
+}
+
+async fn run_watch(engine: &Rc<Engine>, address: SocketAddr) -> Result<(), WatchError> {
+    let (mut sender, connection) = http1::handshake(TokioIo::new(connect(address).await?)).await?;
     // The connection is driven here, so that nothing of it outlives the watch.
     let lines = async {
         let since = engine.revision();
-        let path = format!("/registry/instances?follow=1&since={since}");
-        let request = Request::get(path).header("host", address.to_string());
-        let request = request.body(Empty::<Bytes>::new()).expect("a fixed path and an address are valid");
+        let request = request(address, &format!("?follow=1&since={since}"));
         let response = timeout(SILENCE, sender.send_request(request)).await;
         let response = response.map_err(|_| WatchError::Silent)??;
         if response.status() != StatusCode::OK {
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -98,7 +98,7 @@
     events: VecDeque<Event>,
     ledger: FxHashMap<RequestId, Entry>,
     next_request: u64,
-    /// The watch that the balancer asked for.
+    /// The watch, or the task that keeps one open.
     watch: Option<AbortHandle>,
 }
 
@@ -109,7 +109,12 @@
     name: String,
     clock: Clock,
     backends: Rc<Backends>,
-    discovery: SocketAddr,
+    /// Where the list of servers is.
+    discovery: Cell<SocketAddr>,
+    /// Lists come on request of the balancer.
+    asked: bool,
+    /// The list held is not from where the list is now: changes to it are no use.
+    moved: Cell<bool>,
     /// By class: for how long its requests may be repeated, if they carry keys.
     windows: Vec<Option<Duration>>,
     state: RefCell<State>,
@@ -132,6 +137,7 @@
             Effect::Keyed { window, .. } => Some(window),
             Effect::Safe | Effect::Unsafe => None,
         };
+        let asked = settings.list_on_request;
         let windows = settings.classes.iter().map(window).collect();
         let state = State {
             balancer: Balancer::new(settings, seed, clock.now())?,
@@ -145,7 +151,9 @@
             name,
             clock,
             backends,
-            discovery,
+            discovery: Cell::new(discovery),
+            asked,
+            moved: Cell::new(false),
             windows,
             state: RefCell::new(state),
             revision: Cell::new(0),
@@ -180,7 +188,34 @@
         self.servers_listed.get()
     }
 
+    /// Where the list of servers is.
+    pub fn discovery(&self) -> SocketAddr {
+        self.discovery.get()
+    }
+
+    /// Whether a watch has to start from a whole list.
+    pub fn needs_whole_list(&self) -> bool {
+        self.moved.get()
+    }
+
     // ---- what happens ----
+    /// Starts to follow the list of servers, where that is not for the balancer to ask for.
+    pub fn follow(&self) {
+        if !self.asked {
+            self.watch(&mut self.state.borrow_mut());
+        }
+    }
+
+    /// The list of servers is elsewhere from now on. Nothing that the old address still says is heard; the servers
+    /// last known stay until the new one has told its whole list.
+    pub fn rediscover(&self, address: SocketAddr) {
+        if self.discovery.replace(address) != address {
+            self.log(format_args!("discovery is now {address}"));
+            self.moved.set(true);
+            self.watch(&mut self.state.borrow_mut());
+        }
+    }
+
     /// Takes in the list as last known before the start. The balancer is owed one, be it empty.
     pub fn known(&self, list: Option<&ServerList>) {
         let entries = list.map(|l| self.take_list(l)).unwrap_or_default();
@@ -191,6 +226,7 @@
     pub fn list(&self, list: &ServerList) {
         let kind = if list.complete { ListKind::Full } else { ListKind::Changes };
         self.lists_taken.set(self.lists_taken.get() + 1);
+        self.moved.set(self.moved.get() && !list.complete);
         let entries = self.take_list(list);
         self.feed(Event::List { kind, entries });
     }
@@ -360,12 +396,15 @@
         });
     }
 
-    /// One watch, where lists come only when asked for; its end is told as a failed call.
+    /// Replaces the watch. Where lists come only when asked for there is but one, and its end is told as a failed call.
     fn watch(&self, state: &mut State) {
-        let (me, address) = (self.me.clone(), self.discovery);
+        let (me, asked) = (self.me.clone(), self.asked);
         let task = spawn_local(async move {
             let Some(engine) = me.upgrade() else { return };
-            let error = discovery::watch(&engine, address).await;
+            if !asked {
+                discovery::follow(engine.clone()).await;
+            }
+            let error = discovery::watch(&engine).await;
             engine.log(format_args!("watch: {error}"));
             engine.feed(Event::List { kind: ListKind::Failed, entries: Vec::new() });
         });
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -51,10 +51,11 @@
 async fn run(config: Config) -> Result<(), Box<dyn Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    // Without a handler SIGHUP ends the process; with one it is borne to the very end.
+    let mut hangup = signal(SignalKind::hangup())?;
     let settings = config.site.settings;
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let effects = settings.classes.iter().map(|c| c.effect).collect();
-    let asked = settings.list_on_request;
     // Half of memory is for requests; clients and backends share what descriptors there are.
     let clients = ((config.sockets - RESERVED_SOCKETS) / 2).min(config.memory / 2 / REQUEST_MEMORY).max(1);
     let limits = backend::Limits {
@@ -67,9 +68,13 @@
     let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     engine.log(format_args!("listening on {}", listener.local_addr()?));
     engine.known(config.known.as_ref());
-    if !asked {
-        spawn_local(discovery::follow(engine.clone(), config.discovery));
-    }
+    engine.follow();
+    let reloading = engine.clone();
+    spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            reload(&reloading);
+        }
+    });
     spawn_local(async move { backends.retire_idle().await });
     let (phase, phases) = watch::channel(Phase::Serving);
     let served = spawn_local(Frontend::new(engine.clone(), effects, clients as u32, phases).serve(listener));
@@ -87,6 +92,18 @@
     Ok(())
 }
 
+/// Reads the configuration again. The whole file is checked before anything of it is used: one that is bad changes
+/// nothing. What the file says prevails now over what the environment said at the start.
+fn reload(engine: &Engine) {
+    match Config::from_env() {
+        Ok(config) => {
+            engine.log(format_args!("configuration read again"));
+            config.discovery_in_file.into_iter().for_each(|address| engine.rediscover(address));
+        }
+        Err(error) => engine.log(format_args!("the configuration stays as it is: {error}")),
+    }
+}
+
 fn or(figure: Duration, otherwise: Duration) -> Duration {
     if figure.is_zero() {
         otherwise
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::ops::{Deref, DerefMut};
+use std::path::PathBuf;
 use std::process::{ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Mutex, MutexGuard};
@@ -246,19 +247,27 @@
     child: Child,
     log: Option<BufReader<ChildStderr>>,
     pub address: SocketAddr,
+    /// Its configuration and the file that holds it.
+    config: (Value, PathBuf),
 }
 
 /// Starts a process with a configuration's text.
 pub fn start(config: &str) -> Child {
+    start_with(config, &[]).0
+}
+
+/// The same with further variables; says which file holds the configuration.
+fn start_with(config: &str, variables: &[(&str, &str)]) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
     let path = path.join(format!("{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).expect("a configuration file");
     let mut command = Command::new(env!("CARGO_BIN_EXE_birchswitch"));
-    command.env_clear().env("GW_CONFIG", path).stderr(Stdio::piped()).kill_on_drop(true);
+    command.env_clear().envs(variables.iter().copied()).env("GW_CONFIG", &path);
+    command.stderr(Stdio::piped()).kill_on_drop(true);
     let _guard = nothing_starts();
-    command.spawn().expect("a process")
+    (command.spawn().expect("a process"), path)
 }
 
 impl Node {
@@ -273,9 +282,14 @@
             "name": "n", "listen": address.to_string(), "discovery": discovery.address().to_string(), "seed": "1f",
             "limits": {"sockets": sockets, "memory_mb": MEMORY_MB}, "settings": settings,
         });
-        let mut child = start(&config.to_string());
+        Node::told(config, &[]).await
+    }
+
+    /// The same with a whole configuration and further variables.
+    pub async fn told(config: Value, variables: &[(&str, &str)]) -> Self {
+        let (mut child, path) = start_with(&config.to_string(), variables);
         let log = child.stderr.take().map(BufReader::new);
-        let mut node = Node { child, log, address: ([127, 0, 0, 1], 0).into() };
+        let mut node = Node { child, log, address: ([127, 0, 0, 1], 0).into(), config: (config, path) };
         let line = node.logged("listening on ").await;
         node.address = line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
         node
@@ -307,6 +321,19 @@
         }
     }
 
+    /// Replaces its configuration file by one in which a value differs, and tells it so.
+    pub async fn reconfigure(&mut self, key: &str, value: Value) {
+        self.config.0[key] = value;
+        let text = self.config.0.to_string();
+        self.replace_config(&text).await;
+    }
+
+    /// Replaces its configuration file by this text, and tells it so.
+    pub async fn replace_config(&self, text: &str) {
+        std::fs::write(&self.config.1, text).expect("a configuration file");
+        self.signal("HUP").await;
+    }
+
     pub async fn client(&self) -> Wire {
         Wire::connect(self.address).await
     }
--- /dev/null
+++ b/node/tests/reload.rs
@@ -0,0 +1,142 @@
+//! A configuration that is replaced under a running node.
+
+mod common;
+use common::*;
+use serde_json::json;
+
+const WHOLE: &str = "GET /registry/instances HTTP/1.1";
+
+/// Answers the request for a whole list and takes in the watch that follows it.
+async fn take_over(discovery: &Peer, revision: u64, members: &[serde_json::Value]) -> Watch {
+    let (mut wire, request) = discovery.request().await;
+    assert_eq!(request.start, WHOLE);
+    let list = json!({"revision": revision, "complete": true, "members": members});
+    wire.answer("200 OK", "", &list.to_string()).await;
+    let (watch, request) = discovery.watch().await;
+    assert_eq!(request, format!("GET /registry/instances?follow=1&since={revision} HTTP/1.1"));
+    watch
+}
+
+/// SIGHUP must not end the node; the file's discovery prevails over the variable of the start from then on. The old watch
+/// goes at once. Versions of the two lists have nothing to do with each other: with the one held a watch at the new address
+/// would bring changes to a list that the node doesn't have.
+#[tokio::test]
+async fn a_new_discovery_is_followed_from_its_whole_list() {
+    let (kept, gone, new) = (Peer::new().await, Peer::new().await, Peer::new().await);
+    let (first, second, third) = (Peer::new().await, Peer::new().await, Peer::new().await);
+    let config = json!({
+        "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1f", "settings": settings(),
+    });
+    let mut node = Node::told(config, &[("GW_DISCOVERY", &first.address().to_string())]).await;
+    let (mut watch, _) = first.watch().await;
+    let listed = [member("kept", kept.address(), "active"), member("gone", gone.address(), "active")];
+    watch.list(70, true, &listed).await;
+    node.ready().await;
+
+    node.reconfigure("discovery", json!(second.address().to_string())).await;
+    watch.0.closed().await;
+    let mut watch = take_over(&second, 7, &listed[..1]).await;
+    node.holds(7).await;
+    watch
+        .list(8, false, &[member("new", new.address(), "active"), member("kept", kept.address(), "left")])
+        .await;
+    node.holds(8).await;
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    let (mut wire, _) = new.request().await;
+    wire.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+
+    // Told again without a change, the watch stays; after that it moves once more.
+    node.signal("HUP").await;
+    node.logged("configuration read again").await;
+    node.reconfigure("discovery", json!(third.address().to_string())).await;
+    watch.0.closed().await;
+    let _watch = take_over(&third, 1, &[]).await;
+    node.holds(1).await;
+    assert!(second.untouched().await);
+}
+
+/// A file with anything wrong in it is not used at all.
+#[tokio::test]
+async fn a_bad_file_changes_nothing() {
+    let server = Peer::new().await;
+    let other = Peer::new().await;
+    let (mut node, _discovery, mut watch) = Node::serving(&[("s", &server)]).await;
+    let good = json!({
+        "listen": "127.0.0.1:0", "discovery": other.address().to_string(), "seed": "1f", "settings": settings(),
+    });
+    let mut texts = vec![String::new(), good.to_string().split_at(200).0.to_owned()];
+    for (key, value) in [("seed", json!("none")), ("discovery", json!("here")), ("settings", json!({}))] {
+        let mut bad = good.clone();
+        bad[key] = value;
+        texts.push(bad.to_string());
+    }
+    let mut bad = good.clone();
+    bad["settings"]["zone"] = json!(9);
+    texts.push(bad.to_string());
+    for (k, text) in texts.iter().enumerate() {
+        node.replace_config(text).await;
+        node.logged("the configuration stays as it is").await;
+        watch.list(2 + k as u64, false, &[]).await;
+        node.holds(2 + k as u64).await;
+    }
+    assert!(other.untouched().await);
+    node.replace_config(&good.to_string()).await;
+    watch.0.closed().await;
+}
+
+/// The new address may not answer at first, or say that it can't. It is asked until it has told a whole list.
+#[tokio::test]
+async fn a_whole_list_is_asked_for_until_it_comes() {
+    let server = Peer::new().await;
+    let other = Peer::new().await;
+    let (mut node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    node.reconfigure("discovery", json!(other.address().to_string())).await;
+    let changes = json!({"revision": 5, "complete": false, "members": []}).to_string();
+    for (status, body) in [("503 Service Unavailable", ""), ("200 OK", "[]"), ("200 OK", &changes)] {
+        let (mut wire, request) = other.request().await;
+        assert_eq!(request.start, WHOLE);
+        wire.answer(status, "", body).await;
+    }
+    let _watch = take_over(&other, 3, &[]).await;
+    node.holds(3).await;
+}
+
+/// Where lists come on request the new address is asked at once as well: the balancer knows of no reason to.
+#[tokio::test]
+async fn asked_discovery_moves_too() {
+    let server = Peer::new().await;
+    let (first, second) = (Peer::new().await, Peer::new().await);
+    let mut settings = settings();
+    settings["registry_mode"] = json!("subscribe");
+    let mut node = Node::with(&first, settings, 1024).await;
+    let (mut watch, _) = first.watch().await;
+    watch.list(9, true, &[]).await;
+    node.holds(9).await;
+    node.reconfigure("discovery", json!(second.address().to_string())).await;
+    watch.0.closed().await;
+    let _watch = take_over(&second, 2, &[member("s", server.address(), "active")]).await;
+    node.ready().await;
+}
+
+/// SIGHUP may come while the node leaves: it still finishes what it has, and exits as if it had not been told.
+#[tokio::test]
+async fn a_leaving_node_bears_it() {
+    let server = Peer::new().await;
+    let other = Peer::new().await;
+    let (mut node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    let (mut wire, _) = server.request().await;
+    node.signal("TERM").await;
+    node.logged("leaving").await;
+    for _ in 0..3 {
+        node.signal("HUP").await;
+    }
+    node.reconfigure("discovery", json!(other.address().to_string())).await;
+    let _watch = take_over(&other, 2, &[member("s", server.address(), "active")]).await;
+    wire.answer("200 OK", "", "").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 200);
+    assert!(node.exited().await.success());
+}
