Node: read heads on the raw bytes, bound what clients and servers may do

Seen on reading: hyper drops Content-Length beside Transfer-Encoding, reads an answer without length to the connection's end, and may hold bytes behind an answer unnoticed; heads could take 60 s and bodies as long as X-Timeout says; a second request with an open id was passed on; 64 places at 32 MB.

Now a gate before hyper on both sides lets through one message at a time (gate.rs). Requests: 400/405/408/409/413/431 and close, before the body is read. Answers: 101, no length, two lengths, over 64 KiB, heads over 16 KiB end the attempt as 'may have run'; a connection with anything behind an answer is not used again, and each rests for 5 ms first.

A log line with the stages of connections showed 176 of 176 places idle: clients that ask once and stay, which must not be closed for 2 s (2366 requests never taken up). Ruled out: silent crowds (46 at most), connections being closed (3 at most), descriptors. Answers now tell clients to close when under a quarter of places are free.

--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -1,6 +1,7 @@
 //! The servers' side: their addresses and states, connections to them, and what is sent over these.
 
 use crate::discovery::{Phase, ServerList};
+use crate::gate::{self, Gate, Guard, Head, Next, Problem, MOST_BODY};
 use bytes::Bytes;
 use finchvale::{KindId, LoadReport, Outcome, ServerEntry, ServerId, ServerState, Time, ZoneId};
 use finchvale_drill::settings::{Field, Names};
@@ -10,9 +11,12 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
+use serde::de::{DeserializeSeed, Deserializer, IgnoredAny, MapAccess, Visitor};
+use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -20,12 +24,11 @@
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, timeout_at, Instant};
 
-/// Most that a body may hold, either way.
-pub const MOST_BODY: usize = 64 << 10;
-/// Bound on a connection's read buffer: room for a head and a part of a body.
-pub const MOST_BUFFER: usize = 32 << 10;
 /// A connection is idle again once its answer is read; one that takes longer has something wrong with it.
 const SETTLE: Duration = Duration::from_millis(5);
+/// Before it is used again a connection has to be quiet for so long: bytes behind an answer, on their way when it was
+/// given back, would pass for the answer to the next request.
+const QUARANTINE: Duration = Duration::from_millis(5);
 
 /// One server, as long as the list names it or something is out there.
 pub struct Server {
@@ -63,15 +66,47 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    /// Not a hold on it: it is closed with its driver, also while the connection is idle.
+    socket: Weak<TcpStream>,
+    /// More than the answer came with it.
+    more: Rc<Cell<bool>>,
     generation: u64,
 }
 
+impl Connection {
+    /// Whether the server has closed it or sent what nobody asked for, as far as the system knows by now.
+    fn good(&self) -> bool {
+        !self.more.get() && self.sender.is_ready() && self.socket.upgrade().is_some_and(|s| gate::quiet(&s))
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
     }
 }
 
+/// Reads the heads of answers. What is no good ends the connection, and with it the attempt.
+struct Answers {
+    more: Rc<Cell<bool>>,
+}
+
+impl Guard for Answers {
+    const BETWEEN: Next = Next::Nothing;
+
+    fn head(&self, bytes: &[u8]) -> Result<Option<Head>, Problem> {
+        gate::answer_head(bytes)
+    }
+
+    fn turn_down(&self, problem: Problem) -> std::io::Result<&'static [u8]> {
+        Err(std::io::Error::new(std::io::ErrorKind::InvalidData, problem.1))
+    }
+
+    fn more(&self) {
+        self.more.set(true);
+    }
+}
+
 /// What a server's answer comes to.
 pub struct Exchange {
     /// How the attempt or probe ended.
@@ -202,7 +237,9 @@
                 ));
                 let moved = member.host_port.is_some_and(|a| server.address.replace(a) != a);
                 // What was connected to the process before this one is dead, whether or not it says so.
-                if server.started.replace(started) != started || moved {
+                let restarted = server.started.replace(started) != started;
+                // And what nothing new may go over is only in the way of others.
+                if restarted || moved || state == ServerState::Draining {
                     server.abandon_connections();
                 }
             }
@@ -221,15 +258,11 @@
     }
 
     // ---- connections ----
-    /// The most recently used idle connection that is open still, or a new one.
+    /// The most recently used idle connection that has been quiet since, or a new one.
     async fn checkout(&self, server: &Server) -> Result<Connection, Outcome> {
-        // Lets the connections' drivers see what the sockets have: a closure that has arrived is noticed now,
-        // not by a request that is lost to it.
-        tokio::task::yield_now().await;
-        loop {
-            let Some(idle) = server.idle.borrow_mut().pop() else { break };
-            if idle.since.elapsed() < self.retire_after() && idle.connection.sender.is_ready() {
-                return Ok(idle.connection);
+        while let Some(connection) = self.take_idle(server) {
+            if connection.good() {
+                return Ok(connection);
             }
         }
         let permit = self.slot().await.ok_or(Outcome::NotSent)?;
@@ -247,12 +280,20 @@
             return Err(Outcome::NotSent);
         }
         let _ = stream.set_nodelay(true);
-        let mut builder = http1::Builder::new();
-        builder.max_buf_size(MOST_BUFFER);
-        let made = builder.handshake(TokioIo::new(stream)).await;
+        let (stream, more) = (Rc::new(stream), Rc::new(Cell::new(false)));
+        let socket = Rc::downgrade(&stream);
+        let gate = Gate::new(stream, Answers { more: more.clone() });
+        let made = http1::handshake(TokioIo::new(gate)).await;
         let (sender, connection) = made.map_err(|_| Outcome::Unreachable)?;
         let driver = tokio::task::spawn_local(drive(connection, permit)).abort_handle();
-        Ok(Connection { sender, driver, generation })
+        Ok(Connection { sender, driver, socket, more, generation })
+    }
+
+    fn take_idle(&self, server: &Server) -> Option<Connection> {
+        let mut idle = server.idle.borrow_mut();
+        let rested = QUARANTINE..self.retire_after();
+        let at = idle.iter().rposition(|i| rested.contains(&i.since.elapsed()))?;
+        Some(idle.remove(at).connection)
     }
 
     /// Well before the server closes it: a request that crosses the closing may be lost.
@@ -282,7 +323,11 @@
     /// Takes back a connection after its answer has been read.
     pub async fn give_back(&self, server: &Server, mut connection: Connection) {
         let settled = matches!(timeout(SETTLE, connection.sender.ready()).await, Ok(Ok(())));
-        if settled && connection.generation == server.generation.get() && server.takes_new() {
+        if settled
+            && connection.good()
+            && connection.generation == server.generation.get()
+            && server.takes_new()
+        {
             server.idle.borrow_mut().push(Idle { connection, since: Instant::now() });
         }
     }
@@ -361,7 +406,7 @@
             Err(_) => return Exchange::failed(Outcome::Broken),
         };
         let (head, body) = response.into_parts();
-        let body = match Limited::new(body, MOST_BODY).collect().await {
+        let body = match Limited::new(body, MOST_BODY as usize).collect().await {
             Ok(body) => body.to_bytes(),
             Err(_) => return Exchange::failed(Outcome::Broken),
         };
@@ -378,13 +423,40 @@
 
     /// Reads a load report by the names of its fields; without any of them it is none.
     fn load_report(&self, text: &[u8]) -> Option<LoadReport> {
-        let values: FxHashMap<String, serde_json::Value> = serde_json::from_slice(text).ok()?;
+        let mut reader = serde_json::Deserializer::from_slice(text);
+        let report = ReportReader(self).deserialize(&mut reader).ok()?;
+        reader.end().ok()?;
+        (report != LoadReport::default()).then_some(report)
+    }
+}
+
+/// Reads a load report field by field, with no map in between: one comes with every probe.
+struct ReportReader<'a>(&'a Backends);
+
+impl<'de> DeserializeSeed<'de> for ReportReader<'_> {
+    type Value = LoadReport;
+
+    fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<LoadReport, D::Error> {
+        deserializer.deserialize_map(self)
+    }
+}
+
+impl<'de> Visitor<'de> for ReportReader<'_> {
+    type Value = LoadReport;
+
+    fn expecting(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        to.write_str("a load report")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut values: A) -> Result<LoadReport, A::Error> {
         let mut report = LoadReport::default();
-        for (name, field) in self.names.fields.iter().zip(&self.fields) {
-            let value = values.get(name).and_then(serde_json::Value::as_f64);
-            value.iter().for_each(|v| field.put(*v, &mut report));
+        while let Some(name) = values.next_key::<Cow<str>>()? {
+            match self.0.names.fields.iter().position(|f| *f == name).and_then(|at| self.0.fields.get(at)) {
+                Some(field) => field.put(values.next_value()?, &mut report),
+                None => drop(values.next_value::<IgnoredAny>()?),
+            }
         }
-        (report != LoadReport::default()).then_some(report)
+        Ok(report)
     }
 }
 
@@ -399,7 +471,9 @@
     }
 }
 
-async fn drive(connection: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>, permit: OwnedSemaphorePermit) {
+type Driver = http1::Connection<TokioIo<Gate<Answers>>, Full<Bytes>>;
+
+async fn drive(connection: Driver, permit: OwnedSemaphorePermit) {
     let _ = connection.await;
     drop(permit);
 }
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -14,7 +14,7 @@
 use hyper::{Request, Response};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::fmt;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -59,6 +59,8 @@
     pub work: Option<Duration>,
     /// When the final answer is due.
     pub due: Instant,
+    /// The client's name for it.
+    pub id: Box<[u8]>,
     /// What goes on to a server.
     pub request: Request<Bytes>,
 }
@@ -75,6 +77,7 @@
 
 /// A request in hand.
 struct Entry {
+    id: Box<[u8]>,
     request: Request<Bytes>,
     due: Instant,
     /// For how long a request of a keyed class may be repeated.
@@ -97,6 +100,8 @@
     balancer: Balancer,
     events: VecDeque<Event>,
     ledger: FxHashMap<RequestId, Entry>,
+    /// The clients' names for what is in the ledger. Clients choose them, hence the hasher with a secret.
+    ids: HashSet<Box<[u8]>>,
     next_request: u64,
     /// The watch, or the task that keeps one open.
     watch: Option<AbortHandle>,
@@ -143,6 +148,7 @@
             balancer: Balancer::new(settings, seed, clock.now())?,
             events: VecDeque::new(),
             ledger: FxHashMap::default(),
+            ids: HashSet::new(),
             next_request: 0,
             watch: None,
         };
@@ -239,20 +245,24 @@
     }
 
     /// Takes a client's request. The answer comes through the channel; dropping [`Taken`] is the client's leaving.
-    pub fn arrival(&self, incoming: Incoming) -> Taken {
+    /// None: one of that id is open or still out at a server, where a second would pass for its repeat.
+    pub fn arrival(&self, incoming: Incoming) -> Option<Taken> {
         let (reply, answer) = oneshot::channel();
         let mut state = self.state.borrow_mut();
+        if !state.ids.insert(incoming.id.clone()) {
+            return None;
+        }
         let id = RequestId(state.next_request);
         state.next_request += 1;
-        let Incoming { class, tenant, work, due, request } = incoming;
+        let Incoming { class, tenant, work, due, id: name, request } = incoming;
         let window = self.windows.get(usize::from(class.0)).copied().flatten();
-        let entry = Entry { request, due, window, reply: Some(reply), attempts: Vec::new() };
+        let entry = Entry { id: name, request, due, window, reply: Some(reply), attempts: Vec::new() };
         state.ledger.insert(id, entry);
         drop(state);
         let remaining = due.saturating_duration_since(Instant::now());
         self.feed(Event::Arrival(Arrival { request: id, class, tenant, remaining, work }));
         self.settle(id);
-        Taken { engine: self.me.upgrade(), id, answer }
+        Some(Taken { engine: self.me.upgrade(), id, answer })
     }
 
     fn client_gone(&self, request: RequestId) {
@@ -289,10 +299,10 @@
 
     /// Forgets a request that is answered and has nothing out.
     fn settle(&self, request: RequestId) {
-        let ledger = &mut self.state.borrow_mut().ledger;
+        let state = &mut *self.state.borrow_mut();
         let over = |e: &Entry| e.reply.is_none() && e.attempts.iter().all(|a| a.task.is_none());
-        if ledger.get(&request).is_some_and(over) {
-            ledger.remove(&request);
+        if state.ledger.get(&request).is_some_and(over) {
+            let _ = state.ledger.remove(&request).is_some_and(|e| state.ids.remove(&e.id));
         }
     }
 
@@ -386,13 +396,11 @@
         spawn_local(async move {
             let exchange = backends.probe(&backend, PROBE_TIMEOUT).await;
             let (outcome, latency, report) = (exchange.outcome, began.elapsed(), exchange.report);
-            // Before the report, which brings about an attempt there: it would find no idle connection and open
-            // one more, beside the one that is about to be idle.
+            let probed = Probed { server, outcome, latency, report };
+            me.upgrade().iter().for_each(|e| e.feed(Event::Probed(probed)));
             if let Some(connection) = exchange.connection {
                 backends.give_back(&backend, connection).await;
             }
-            let probed = Probed { server, outcome, latency, report };
-            me.upgrade().iter().for_each(|e| e.feed(Event::Probed(probed)));
         });
     }
 
--- a/node/src/frontend.rs
+++ b/node/src/frontend.rs
@@ -1,7 +1,7 @@
 //! The clients' side: takes connections and requests, checks them, and writes the final answers.
 
-use crate::backend::{MOST_BODY, MOST_BUFFER};
 use crate::engine::{Answer, Engine, Incoming};
+use crate::gate::{self, Gate, Guard, Head, Next, Problem, MOST_BODY};
 use bytes::Bytes;
 use finchvale::{ClassId, Effect, TenantId};
 use http_body_util::{BodyExt, Full, Limited};
@@ -10,7 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -29,10 +29,31 @@
 const MARGIN_PART: u32 = 8;
 /// The part of the margin that an answer which the balancer owes may take.
 const OVERDUE: u32 = 4;
-/// A connection may wait this long for a request, and a request's head may take this long.
-const IDLE: Duration = Duration::from_secs(60);
+/// A connection may wait this long for its first request, and a head may take as long; for the first one both count from
+/// the connecting. A client that sends nothing useful is owed a word or a close within 3 s of it.
+const FIRST: Duration = Duration::from_secs(2);
+/// The same for a request with its body.
+const WHOLE: Duration = Duration::from_millis(2500);
+/// A connection may wait this long for its next request ...
+const IDLE: Duration = Duration::from_secs(5);
+/// ... and at least this long, even where places are needed. One that has said nothing so far, or begun a head, has less
+/// of a claim, but what was sent with the connecting needs a moment to come.
+const IDLE_LEAST: Duration = Duration::from_secs(2);
+const FIRST_LEAST: Duration = Duration::from_millis(10);
+const HEAD_LEAST: Duration = Duration::from_millis(200);
+/// How often all this is looked at.
+const SWEEP: Duration = Duration::from_millis(100);
+/// Where places are needed, and nobody can go yet, this is tried again.
+const ROOM: Duration = Duration::from_millis(5);
+/// For what is still to be written, or read and thrown away, on a connection that ends.
+const LAST_WRITES: Duration = Duration::from_secs(1);
+const LINGER: Duration = Duration::from_millis(300);
+/// Most that is thrown away.
+const MOST_LINGERING: usize = 256 << 10;
 /// Where places are needed, this part of them is made free at a time.
 const EVICTED_PART: u32 = 8;
+/// Where fewer places than this part are free, answers tell clients to close.
+const SPARE_PART: u32 = 4;
 /// For what is under way on a connection that is to end.
 const LAST_CHANCE: Duration = Duration::from_millis(100);
 /// No client waits for longer.
@@ -81,11 +102,100 @@
 
 /// One connection.
 struct Client {
-    /// Since when it waits for a request; None while it has one.
-    idle: Cell<Option<Instant>>,
-    /// Whether a request has come on it.
-    used: Cell<bool>,
-    close: Notify,
+    socket: Rc<TcpStream>,
+    stage: Cell<Stage>,
+    since: Cell<Instant>,
+    /// Why the head under way is turned down, once it is.
+    problem: Cell<Option<Problem>>,
+    /// Its last request was malformed: more of it may still come.
+    malformed: Cell<bool>,
+    wake: Notify,
+}
+
+/// Where a connection stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Nothing has come yet.
+    New,
+    /// A head has begun: since the connecting on the first request, since its first bytes on others.
+    Head,
+    /// The head under way took too long.
+    Late,
+    /// A request is in hand.
+    Busy,
+    /// It waits for the next request.
+    Idle,
+    /// It is to close.
+    Leaving,
+}
+
+impl Client {
+    fn enter(&self, stage: Stage) {
+        self.stage.set(stage);
+        self.since.set(Instant::now());
+    }
+
+    fn age(&self) -> Duration {
+        self.since.get().elapsed()
+    }
+
+    /// Whether it may be closed for others that need its place.
+    fn in_the_way(&self) -> bool {
+        let least = match self.stage.get() {
+            Stage::New => FIRST_LEAST,
+            Stage::Head | Stage::Late => HEAD_LEAST,
+            Stage::Idle => IDLE_LEAST,
+            Stage::Busy | Stage::Leaving => return false,
+        };
+        self.age() >= least && gate::quiet(&self.socket)
+    }
+
+    fn leave(&self) {
+        self.enter(Stage::Leaving);
+        self.wake.notify_one();
+    }
+
+    /// Ends what has taken too long.
+    fn sweep(&self) {
+        let (stage, age) = (self.stage.get(), self.age());
+        match stage {
+            // Never one on which a request has come that was not read yet.
+            Stage::New if age >= FIRST => self.leave(),
+            Stage::Idle if age >= IDLE && gate::quiet(&self.socket) => self.leave(),
+            Stage::Head if age >= FIRST => {
+                self.stage.set(Stage::Late);
+                self.wake.notify_one();
+            }
+            _ => {}
+        }
+    }
+}
+
+/// A request that takes the place of one that was turned down, in the row of answers on its connection. No client can
+/// send one of this method.
+const TURNED_DOWN: &str = "TURNED-DOWN";
+
+impl Guard for Rc<Client> {
+    const BETWEEN: Next = Next::Head;
+
+    fn head(&self, bytes: &[u8]) -> Result<Option<Head>, Problem> {
+        gate::request_head(bytes)
+    }
+
+    fn turn_down(&self, problem: Problem) -> std::io::Result<&'static [u8]> {
+        self.problem.set(Some(problem));
+        Ok(b"TURNED-DOWN / HTTP/1.1\r\n\r\n")
+    }
+
+    fn begun(&self) -> Result<(), Problem> {
+        match self.stage.get() {
+            Stage::New => self.stage.set(Stage::Head),
+            Stage::Idle => self.enter(Stage::Head),
+            Stage::Late => return Err((StatusCode::REQUEST_TIMEOUT, "the head took too long")),
+            Stage::Head | Stage::Busy | Stage::Leaving => {}
+        }
+        Ok(())
+    }
 }
 
 impl Frontend {
@@ -109,6 +219,14 @@
 
     /// Takes connections until the node closes, then waits for the last of them to end.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        let sweeping = self.clone();
+        let sweeper = spawn_local(async move {
+            let mut every = tokio::time::interval(SWEEP);
+            loop {
+                every.tick().await;
+                sweeping.clients.borrow().values().for_each(|c| c.sweep());
+            }
+        });
         let mut phase = self.phase.clone();
         let mut closing = std::pin::pin!(async move {
             let _ = phase.wait_for(|p| *p == Phase::Closing).await;
@@ -131,82 +249,116 @@
         }
         drop(listener);
         let _ = self.slots.acquire_many(self.most).await;
+        sweeper.abort();
     }
 
-    /// Room for one more connection. Where there is none, those that have waited for a request the longest are
-    /// closed, so that idle clients don't keep others out: several at a time, since a head that has begun gets a
-    /// last chance, and a crowd of such heads would let in only one client in each of these.
+    /// Room for one more connection. Where there is none, some that have nothing to say are closed, so that they don't
+    /// keep others out: the longest silent first, several at a time, since more are likely to wait.
     async fn slot(&self) -> OwnedSemaphorePermit {
-        if self.slots.available_permits() == 0 {
-            let clients = self.clients.borrow();
-            let mut idle: Vec<_> = clients.values().filter_map(|c| Some((c.idle.get()?, c))).collect();
-            idle.sort_unstable_by_key(|c| c.0);
-            idle.iter().take(self.most.div_ceil(EVICTED_PART) as usize).for_each(|c| c.1.close.notify_one());
+        loop {
+            let permit = timeout(ROOM, self.slots.clone().acquire_owned());
+            if self.slots.available_permits() == 0 {
+                let clients = self.clients.borrow();
+                let mut going: Vec<_> = clients.values().filter(|c| c.in_the_way()).collect();
+                going.sort_unstable_by_key(|c| c.since.get());
+                going.iter().take(self.most.div_ceil(EVICTED_PART) as usize).for_each(|c| c.leave());
+            }
+            if let Ok(permit) = permit.await {
+                return permit.expect("the semaphore is never closed");
+            }
         }
-        self.slots.clone().acquire_owned().await.expect("the semaphore is never closed")
+    }
+
+    fn scarce(&self) -> bool {
+        self.slots.available_permits() < (self.most / SPARE_PART) as usize
     }
 
     fn connected(self: Rc<Self>, stream: TcpStream, permit: OwnedSemaphorePermit) {
         let _ = stream.set_nodelay(true);
-        let (idle, used) = (Cell::new(Some(Instant::now())), Cell::new(false));
-        let client = Rc::new(Client { idle, used, close: Notify::new() });
+        let client = Rc::new(Client {
+            socket: Rc::new(stream),
+            stage: Cell::new(Stage::New),
+            since: Cell::new(Instant::now()),
+            problem: Cell::new(None),
+            malformed: Cell::new(false),
+            wake: Notify::new(),
+        });
         let id = self.next_client.replace(self.next_client.get() + 1);
-        // Before its task runs: a burst may fill all places within one turn, and where nobody is known to be idle
+        // Before its task runs: a burst may fill all places within one turn, and where nobody is known to be silent
         // nobody makes room.
         self.clients.borrow_mut().insert(id, client.clone());
         spawn_local(async move {
-            self.serve_connection(stream, &client).await;
+            self.serve_connection(&client).await;
             self.clients.borrow_mut().remove(&id);
             drop(permit);
         });
     }
 
-    async fn serve_connection(self: &Rc<Self>, stream: TcpStream, client: &Rc<Client>) {
+    async fn serve_connection(self: &Rc<Self>, client: &Rc<Client>) {
         let service = service_fn(|request: Request<Body>| async {
-            client.idle.set(None);
-            client.used.set(true);
-            let mut response = self.answer(request).await;
-            client.idle.set(Some(Instant::now()));
-            // A client that is told to close goes elsewhere next; so is every one while others wait for room.
-            if *self.phase.borrow() > Phase::Serving || self.slots.available_permits() == 0 {
-                response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            let since = client.since.get();
+            client.enter(Stage::Busy);
+            let mut response = match client.problem.get() {
+                Some((status, why)) if request.method() == TURNED_DOWN => turned_down(status, why),
+                _ => {
+                    // Nobody but hyper knows where chunks end: what is behind them is not read.
+                    let last = request.headers().contains_key(header::TRANSFER_ENCODING);
+                    let mut response = self.answer(request, since).await;
+                    if last {
+                        close(&mut response);
+                    }
+                    response
+                }
+            };
+            client.malformed.set(response.status().is_client_error());
+            client.enter(Stage::Idle);
+            // A client that is told to close goes elsewhere next. Where places run short each is: many ask once and keep
+            // their connection, and until those may be closed nobody else would get in.
+            if *self.phase.borrow() > Phase::Serving || self.scarce() {
+                close(&mut response);
             }
             Ok::<_, Infallible>(response)
         });
+        // Times are kept here, by one look at all connections now and then, not by a timer on each.
         let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(IDLE)
-            .max_buf_size(MOST_BUFFER)
-            .serve_connection(TokioIo::new(stream), service);
+            .header_read_timeout(None)
+            .serve_connection(TokioIo::new(Gate::new(client.socket.clone(), client.clone())), service);
         let mut connection = std::pin::pin!(connection);
         let mut phase = self.phase.clone();
         let mut told = false;
         loop {
-            let evicted = tokio::select! {
+            tokio::select! {
                 biased;
-                _ = connection.as_mut() => return, // Its errors are the client's: it left or spoke no HTTP.
-                () = client.close.notified() => true,
-                _ = phase.wait_for(|p| *p == Phase::Closing), if !told => false,
-            };
-            told = true;
-            // A request may have come with the connection and not have been read yet. Hyper would close on it.
-            if !client.used.get() && timeout(LAST_CHANCE, connection.as_mut()).await.is_ok() {
-                return;
+                _ = connection.as_mut() => break, // Its errors are the client's: it left or spoke no HTTP.
+                () = client.wake.notified() => {}
+                _ = phase.wait_for(|p| *p == Phase::Closing), if !told => {
+                    told = true;
+                    // A request may have come with the connection and not have been read yet. Hyper would close on it.
+                    if client.stage.get() == Stage::New
+                        && timeout(LAST_CHANCE, connection.as_mut()).await.is_ok()
+                    {
+                        break;
+                    }
+                    connection.as_mut().graceful_shutdown();
+                }
             }
-            connection.as_mut().graceful_shutdown();
-            // A head that never ends would keep its place for as long as it likes: only what has come in whole
-            // meanwhile is worth a wait.
-            if evicted
-                && (!client.used.get()
-                    || timeout(LAST_CHANCE, connection.as_mut()).await.is_ok()
-                    || client.idle.get().is_some())
-            {
-                return;
+            if client.stage.get() == Stage::Leaving {
+                connection.as_mut().graceful_shutdown();
+                // Its last answer may still be on its way. A request that was read meanwhile is answered.
+                while timeout(LAST_WRITES, connection.as_mut()).await.is_err()
+                    && client.stage.get() == Stage::Busy
+                {}
+                break;
             }
         }
+        // Closing on unread bytes would reset the connection, and might take the word about them from the client.
+        if client.malformed.get() {
+            let _ = timeout(LINGER, discard(&client.socket)).await;
+        }
     }
 
-    async fn answer(&self, request: Request<Body>) -> Response<Full<Bytes>> {
+    /// Answers a request that has begun at `since`.
+    async fn answer(&self, request: Request<Body>, since: Instant) -> Response<Full<Bytes>> {
         let head = Instant::now();
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/health/ready") => {
@@ -221,24 +373,28 @@
         let (parts, body) = request.into_parts();
         let order = match self.read_head(&parts.method, &parts.uri, &parts.headers) {
             Ok(order) => order,
-            Err((status, why)) => return plain(status, why),
+            Err((status, why)) => return turned_down(status, why),
         };
         let margin = MARGIN.min(order.wait / MARGIN_PART);
         let due = head + order.wait - margin;
-        let body = match timeout_at(due, Limited::new(body, MOST_BODY).collect()).await {
+        let whole = Limited::new(body, MOST_BODY as usize).collect();
+        let body = match timeout_at(due.min(since + WHOLE), whole).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+                return turned_down(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
             }
-            Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "the body is not whole"),
-            Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body took too long"),
+            Ok(Err(_)) => return turned_down(StatusCode::BAD_REQUEST, "the body is not whole"),
+            Err(_) => return turned_down(StatusCode::REQUEST_TIMEOUT, "the body took too long"),
         };
         let mut outgoing = Request::new(body);
         *outgoing.method_mut() = parts.method;
         *outgoing.uri_mut() = order.target;
         *outgoing.headers_mut() = end_to_end(parts.headers);
-        let Order { class, tenant, work, .. } = order;
-        let taken = self.engine.arrival(Incoming { class, tenant, work, due, request: outgoing });
+        let Order { class, tenant, work, id, .. } = order;
+        let taken = self.engine.arrival(Incoming { class, tenant, work, due, id, request: outgoing });
+        let Some(taken) = taken else {
+            return turned_down(StatusCode::CONFLICT, "a request of this X-Request-ID is open");
+        };
         match taken.answer(due + margin / OVERDUE).await {
             Answer::Served(response) => {
                 let (head, body) = response.into_parts();
@@ -269,18 +425,21 @@
         let class = uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
         let class = names.classes.iter().position(|c| c == class && !c.is_empty());
         let class = class.ok_or((StatusCode::NOT_FOUND, "unknown class of requests"))?;
-        let text = |name: &HeaderName| headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
-        if text(&REQUEST_ID).is_none_or(str::is_empty) {
-            return Err(bad("X-Request-ID is missing"));
+        // Of two of a kind it is not known which one counts.
+        let single = [&REQUEST_ID, &TENANT, &TIMEOUT, &COST, &KEY];
+        if single.iter().any(|name| headers.get_all(*name).iter().nth(1).is_some()) {
+            return Err(bad("a header that counts once came twice"));
         }
+        let text = |name: &HeaderName| headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
+        let id = text(&REQUEST_ID).filter(|id| !id.is_empty()).ok_or(bad("X-Request-ID is missing"))?;
         let wait = text(&TIMEOUT).and_then(parse_wait);
         let wait = wait.ok_or(bad("X-Timeout is missing or makes no sense"))?;
-        let keyed = matches!(self.effects[class], Effect::Keyed { .. });
-        if keyed && text(&KEY).is_none_or(str::is_empty) {
+        let effect = self.effects[class];
+        if matches!(effect, Effect::Keyed { .. }) && text(&KEY).is_none_or(str::is_empty) {
             return Err(bad("Idempotency-Key is missing"));
         }
-        if *method == Method::CONNECT {
-            return Err((StatusCode::METHOD_NOT_ALLOWED, "no tunnels"));
+        if (*method == Method::GET) != (effect == Effect::Safe) {
+            return Err((StatusCode::METHOD_NOT_ALLOWED, "another method goes with this class"));
         }
         let tenant = match text(&TENANT) {
             _ if names.tenants.is_empty() => 0,
@@ -289,28 +448,57 @@
             }
         };
         let target = uri.path_and_query().cloned().map(Uri::from).ok_or(bad("the target has no path"))?;
-        let work = text(&COST).and_then(|v| v.parse::<f64>().ok()).filter(|us| (0.0..1e12).contains(us));
+        let work = match headers.get(COST).map(|v| v.to_str().unwrap_or_default().trim().parse::<f64>()) {
+            None => None,
+            Some(Ok(us)) if (0.0..1e12).contains(&us) => Some(Duration::from_secs_f64(us / 1e6)),
+            Some(_) => return Err(bad("X-Cost makes no sense")),
+        };
         Ok(Order {
             class: ClassId(u8::try_from(class).map_err(|_| bad("unknown class of requests"))?),
             tenant: TenantId(u16::try_from(tenant).map_err(|_| bad("unknown tenant"))?),
-            work: work.map(|us| Duration::from_secs_f64(us / 1e6)),
+            work,
+            id: id.as_bytes().into(),
             wait,
             target,
         })
     }
 }
 
-type Problem = (StatusCode, &'static str);
-
 /// What a request's head says.
 struct Order {
     class: ClassId,
     tenant: TenantId,
     work: Option<Duration>,
     wait: Duration,
+    id: Box<[u8]>,
     target: Uri,
 }
 
+fn close(response: &mut Response<Full<Bytes>>) {
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
+
+/// The answer to what is malformed. Nothing more is read on its connection: who sends one such thing is not trusted to
+/// have begun the next where it seems to.
+fn turned_down(status: StatusCode, why: &'static str) -> Response<Full<Bytes>> {
+    let mut response = plain(status, why);
+    close(&mut response);
+    response
+}
+
+/// Reads what still comes, up to a bound.
+async fn discard(socket: &TcpStream) {
+    let (mut buffer, mut read) = ([0; 4096], 0);
+    while read < MOST_LINGERING && socket.readable().await.is_ok() {
+        match socket.try_read(&mut buffer) {
+            Ok(0) => return,
+            Ok(n) => read += n,
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+    }
+}
+
 fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(text.into()));
     *response.status_mut() = status;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -8,6 +8,7 @@
 mod discovery;
 mod engine;
 mod frontend;
+mod gate;
 
 use backend::Backends;
 use config::Config;
@@ -28,8 +29,9 @@
 const LAST_WRITES: Duration = Duration::from_millis(100);
 /// Descriptors for all that is no client and no backend: standard streams, listener, discovery, the runtime.
 const RESERVED_SOCKETS: usize = 32;
-/// Most that one request may hold: its body and answer, and the buffers of both connections.
-const REQUEST_MEMORY: usize = 256 << 10;
+/// Most that one request may hold: its body and answer, and the buffers of both connections. Measured with bodies of the
+/// largest kind at every place.
+const REQUEST_MEMORY: usize = 200 << 10;
 /// Connections that the system holds until they are accepted.
 const BACKLOG: u32 = 1024;
 
@@ -56,8 +58,10 @@
     let settings = config.site.settings;
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let effects = settings.classes.iter().map(|c| c.effect).collect();
-    // Half of memory is for requests; clients and backends share what descriptors there are.
-    let clients = ((config.sockets - RESERVED_SOCKETS) / 2).min(config.memory / 2 / REQUEST_MEMORY).max(1);
+    // Three quarters of memory are for requests; clients and backends share what descriptors there are. That is more
+    // than the third that clients need for requests: the rest is for those that say nothing.
+    let clients =
+        ((config.sockets - RESERVED_SOCKETS) / 2).min(config.memory / 4 * 3 / REQUEST_MEMORY).max(1);
     let limits = backend::Limits {
         connections: config.sockets - RESERVED_SOCKETS - clients,
         connect_timeout: or(settings.connect_timeout, Duration::from_millis(250)),
--- a/node/tests/attempts.rs
+++ b/node/tests/attempts.rs
@@ -2,6 +2,7 @@
 
 mod common;
 use common::*;
+use std::time::Duration;
 
 #[tokio::test]
 async fn a_request_and_its_answer_pass_unchanged() {
@@ -119,11 +120,83 @@
     for _ in 0..3 {
         wire.answer("200 OK", "", "").await;
         assert_eq!(client.read().await.expect("an answer").status(), 200);
+        // It rests for a moment first, lest more than the answer is on its way.
+        tokio::time::sleep(Duration::from_millis(50)).await;
         client.send("unsafe", "20000m").await;
         wire.read().await.expect("the next request on the same connection");
     }
 }
 
+/// What is behind an answer would be taken for the answer to the next request on that connection: with a second copy that
+/// client would get another's answer.
+#[tokio::test]
+async fn bytes_behind_an_answer_end_the_connection() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let mut client = node.client().await;
+    let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    for (k, (with, later)) in
+        [(answer("x"), ""), ("noise".into(), ""), (String::new(), "n"), (String::new(), "HTTP/1.1 2")]
+            .into_iter()
+            .enumerate()
+    {
+        client.send("unsafe", "20000m").await;
+        let (mut wire, _) = server.request().await;
+        wire.write(&(answer(&k.to_string()) + &with)).await;
+        assert_eq!(client.read().await.expect("an answer").body, k.to_string().as_bytes());
+        wire.write(later).await; // It is given back by then.
+        wire.closed().await;
+    }
+}
+
+/// An answer that is not surely whole is none. Its request may have run, and its connection is closed at once, not when the
+/// client's time is up: an endless one would go on growing.
+#[tokio::test]
+async fn spoilt_answers_end_the_attempt() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let endless =
+        |head: &str, part: &str| format!("HTTP/1.1 200 OK\r\n{head}{}", part.repeat(200_000 / part.len()));
+    let spoilt = [
+        "no HTTP at all\r\n\r\n".to_owned(),
+        "HTTP/1.1 200 OK\r\n\r\nuntil the end".to_owned(),
+        "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n".to_owned(),
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n".to_owned(),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n0\r\n\r\n".to_owned(),
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc".to_owned(),
+        "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nab".to_owned(),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n".to_owned(),
+        endless("Content-Length: 3000000000\r\n\r\n", "more "),
+        endless("Transfer-Encoding: chunked\r\n\r\n", "5\r\nmore \r\n"),
+        endless("X-Long: ", "more "),
+        endless("", "X-Many: 1\r\n"),
+        "HTTP/1.1 100 Continue\r\n\r\n".repeat(5000),
+    ];
+    for answer in spoilt {
+        let mut client = node.client().await;
+        client.send("unsafe", "60000m").await;
+        let (mut wire, _) = server.request().await;
+        wire.write_what_is_taken(&answer).await;
+        let status = client.read().await.expect("an answer").status();
+        assert_eq!(status, 504, "{answer:.80}");
+        wire.ended().await;
+    }
+    assert!(node.memory_peak() < MEMORY_MB << 10);
+}
+
+/// Interim answers are skipped, and load reports that can't be read are ignored: neither spoils the answer.
+#[tokio::test]
+async fn interim_answers_and_odd_reports_are_survived() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    let (mut wire, _) = server.request().await;
+    wire.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n").await;
+    wire.answer("200 OK", "X-Server-Load: {\"inflight\":[,\r\n", "served").await;
+    assert_eq!(client.read().await.expect("an answer").body, b"served");
+}
+
 /// A server that says nothing costs the client no answer: it comes before the client's time is up, and the attempt's
 /// connection is closed.
 #[tokio::test]
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -130,6 +130,17 @@
         assert!(rest.is_empty(), "closed only after {:?}", String::from_utf8_lossy(&rest));
     }
 
+    /// Writes as much as the other side takes before it closes.
+    pub async fn write_what_is_taken(&mut self, text: &str) {
+        let _ = within("writing", self.0.get_mut().write_all(text.as_bytes())).await;
+    }
+
+    /// Waits for the other side to close, whatever it still says.
+    pub async fn ended(&mut self) {
+        let mut rest = Vec::new();
+        let _ = within("the connection's end", self.0.read_to_end(&mut rest)).await;
+    }
+
     /// Answers with further header lines, each ended, and a body.
     pub async fn answer(&mut self, status: &str, headers: &str, body: &str) {
         let length = body.len();
@@ -144,10 +155,14 @@
 
     pub async fn send(&mut self, class: &str, wait: &str) {
         static NEXT: AtomicU32 = AtomicU32::new(0);
-        let id = NEXT.fetch_add(1, Ordering::Relaxed);
+        self.send_as(&format!("r{}", NEXT.fetch_add(1, Ordering::Relaxed)), class, wait).await;
+    }
+
+    pub async fn send_as(&mut self, id: &str, class: &str, wait: &str) {
+        let method = if class == "safe" { "GET" } else { "POST" };
         let key = if class == "keyed" { "Idempotency-Key: k\r\n" } else { "" };
         let head =
-            format!("POST /{class} HTTP/1.1\r\nHost: a\r\nX-Request-ID: r{id}\r\nX-Timeout: {wait}\r\n");
+            format!("{method} /{class} HTTP/1.1\r\nHost: a\r\nX-Request-ID: {id}\r\nX-Timeout: {wait}\r\n");
         self.write(&format!("{head}X-Tenant-Id: one\r\nX-Cost: 90000\r\n{key}Content-Length: 0\r\n\r\n"))
             .await;
     }
--- a/node/tests/lists.rs
+++ b/node/tests/lists.rs
@@ -56,6 +56,8 @@
     assert_eq!(client.read().await.expect("an answer").status(), 200);
     // The same start told once more is no restart.
     watch.list(3, true, &[entry]).await;
+    node.holds(3).await;
+    tokio::time::sleep(std::time::Duration::from_millis(50)).await; // It rests before it is used again.
     client.send("unsafe", "20000m").await;
     new.read().await.expect("the next request on the same connection");
 }
