Module: ask no server again whose answer is fresh or under way

Checked: reports are refreshed every few milliseconds, so that an answer of 0.3 latencies (about 4 ms here) ago says as much as a new one, if what the node itself sent and got back since is counted in (Server::held).

ask() in logic.rs now reuses such answers and waits for probes that are out already; choose() counts own sends, without which two requests of a moment went to the same idle server. A probe that the node could not send (NotSent) no longer makes its server dearer.

New test what_was_just_heard_is_not_asked_again.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,6 +45,8 @@
 const RETRY_EARN: f64 = 0.2; // further attempts that each request earns (retry budget) ...
 pub(crate) const RETRY_MOST: f64 = 10.0; // ... and the most saved up
 const PROBES: usize = 5; // for one request: each adds to the chance of an idle server, and to the bill
+const FRESH: f64 = 0.3; // latencies for which a probe's answer, own sends since counted in, needs no other
+const PROBE_WAIT: f64 = 4.0; // usual probes' times for which answers are waited for
 
 impl Balancer {
     /// Takes in one event and appends what is to be done about it.
@@ -430,6 +432,7 @@
         let s = &mut self.servers[i];
         let fresh = !s.connected(now, self.settings.conn_idle);
         s.out.push(now);
+        s.held = s.held.map(|held| held + 1.0);
         self.sends.add(now, 1.0);
         self.markets[usize::from(r.class.0)].steady.add(now, 1.0);
         let (server, zone, cell) = (s.id, s.zone, s.cell);
@@ -499,20 +502,30 @@
     }
 
     // ---- probes ----
-    /// Probes a few servers drawn by share; only the first may be cold, lest the best-of draw rush it.
+    /// Probes a few servers drawn by share; only the first may be cold, lest the best-of draw rush it. What was heard
+    /// a moment ago, or is being asked already, is not asked again.
     fn ask(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) -> bool {
+        let wait = PROBE_WAIT * self.probe_latency;
         for k in 0..PROBES {
             let Some(i) = self.draw(now, id, k > 0) else { break };
-            let server = self.servers[i].id;
+            let s = &mut self.servers[i];
             let Some(r) = self.requests.get_mut(&id) else { break };
-            r.asked.push((server, None));
-            actions.push(Action::Probe { server });
+            let fresh = s.held.filter(|_| (now - s.heard).as_secs_f64() < FRESH * self.latency);
+            r.asked.push((s.id, fresh));
+            if fresh.is_none() && s.probing.is_none_or(|at| (now - at).as_secs_f64() >= wait) {
+                s.probing = Some(now);
+                actions.push(Action::Probe { server: s.id });
+            }
         }
         let Some(r) = self.requests.get(&id).filter(|r| !r.asked.is_empty()) else {
             self.finish(id, actions);
             return false;
         };
-        let wait = (4.0 * self.probe_latency).min((r.ends - now).as_secs_f64());
+        if r.asked.iter().all(|a| a.1.is_some()) {
+            self.choose(now, id, true, actions);
+            return true;
+        }
+        let wait = wait.min((r.ends - now).as_secs_f64());
         let timer = self.set_timer(now, wait, actions);
         self.choosing.push((id, timer));
         true
@@ -520,13 +533,21 @@
 
     fn probed(&mut self, now: Time, p: &Probed, actions: &mut Vec<Action>) {
         let mut load = f64::INFINITY;
-        if p.outcome == Outcome::Served {
-            self.probe_latency += (p.latency.as_secs_f64() - self.probe_latency) / 32.0;
-            let report = p.report.unwrap_or_default();
-            self.report(now, p.server, &report);
-            load = report.held.or(report.busy).filter(|h| h.is_finite()).unwrap_or(load);
-        } else {
-            self.failed(now, p.server, p.outcome);
+        if let Some(&i) = self.index.get(&p.server) {
+            self.servers[i].probing = None;
+        }
+        match p.outcome {
+            Outcome::Served => {
+                self.probe_latency += (p.latency.as_secs_f64() - self.probe_latency) / 32.0;
+                let report = p.report.unwrap_or_default();
+                self.report(now, p.server, &report);
+                load = report.held.or(report.busy).filter(|h| h.is_finite() && *h >= 0.0).unwrap_or(load);
+                if let (Some(&i), true) = (self.index.get(&p.server), load.is_finite()) {
+                    (self.servers[i].held, self.servers[i].heard) = (Some(load), now);
+                }
+            }
+            Outcome::NotSent => {} // The node's own shortage says nothing of the server.
+            outcome => self.failed(now, p.server, outcome),
         }
         for k in (0..self.choosing.len()).rev() {
             let id = self.choosing[k].0;
@@ -547,12 +568,15 @@
         let asked = std::mem::take(&mut r.asked);
         let (work, class, left) = (r.work.unwrap_or(self.mean_work), r.class, r.ends - now);
         self.choosing.retain(|c| c.0 != id);
-        let answers =
-            asked.iter().filter_map(|a| Some((a.1.filter(|l| l.is_finite())?, self.index.get(&a.0)?)));
+        // Other requests of this node may have gone there since.
+        let answers = asked.iter().filter_map(|a| {
+            let (load, &i) = (a.1.filter(|l| l.is_finite())?, self.index.get(&a.0)?);
+            Some((self.servers[i].held.unwrap_or(load), i))
+        });
         let shut = self.refused * self.settings.connect_timeout.as_secs_f64();
         let best = answers
-            .filter(|b| self.servers[*b.1].state == ServerState::Ready)
-            .map(|(load, &i)| {
+            .filter(|b| self.servers[b.1].state == ServerState::Ready)
+            .map(|(load, i)| {
                 let open = self.servers[i].connected(now, self.settings.conn_idle);
                 (load * self.mean_work + if open { 0.0 } else { shut }, i)
             })
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -272,6 +272,38 @@
     assert!(matches!(actions[..], [Action::Refuse { .. }]), "{actions:?}");
 }
 
+/// A probe costs the server and the node, and is no use where its answer is known. What the node itself has sent since is
+/// not in that answer and must be counted in, or all requests of a moment go to one server.
+#[test]
+fn what_was_just_heard_is_not_asked_again() {
+    let probing = Settings { reports: Reports::ByProbe, reports_rate: false, may_probe: true, ..settings() };
+    let mut b = Balancer::new(probing, 5, at(0)).expect("sound settings");
+    let mut actions = vec![];
+    b.handle(at(0), list(3), &mut actions);
+    let arrive = |b: &mut Balancer, now, id| {
+        let (request, class, tenant) = (RequestId(id), ClassId(1), TenantId(0));
+        let arrival = Arrival { request, class, tenant, remaining: ms(900), work: Some(ms(100)) };
+        let mut actions = vec![];
+        b.handle(now, Event::Arrival(arrival), &mut actions);
+        actions
+    };
+    let probes = |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::Probe { .. })).count();
+    assert_eq!(probes(&arrive(&mut b, at(1), 1)), 3);
+    assert_eq!(probes(&arrive(&mut b, at(1), 2)), 0, "asked already");
+    actions.clear();
+    for server in 0..3 {
+        let report = Some(LoadReport { held: Some(0.0), ..report(0.1, 0.0) });
+        let p = Probed { server: ServerId(server), outcome: Outcome::Served, latency: ms(1), report };
+        b.handle(at(2), Event::Probed(p), &mut actions);
+    }
+    actions.extend(arrive(&mut b, at(3), 3));
+    let sent = |a: &Action| if let Action::Send { server, .. } = a { Some(*server) } else { None };
+    let mut sent: Vec<_> = actions.iter().filter_map(sent).collect();
+    sent.sort();
+    assert_eq!(sent, [ServerId(0), ServerId(1), ServerId(2)], "{actions:?}");
+    assert_eq!(probes(&arrive(&mut b, at(3000), 4)), 3, "heard too long ago");
+}
+
 #[test]
 fn settings_that_make_no_sense_are_named() {
     let bad = |change: fn(&mut Settings)| {
--- a/src/state.rs
+++ b/src/state.rs
@@ -68,6 +68,12 @@
     pub connected: Option<Time>,
     /// Send times of the attempts that are out.
     pub out: Vec<Time>,
+    /// Requests held by the latest answer to a probe, with what this node has sent and got back since.
+    pub held: Option<f64>,
+    /// When that answer came.
+    pub heard: Time,
+    /// When the probe that is out was sent.
+    pub probing: Option<Time>,
 }
 
 impl Server {
@@ -92,6 +98,9 @@
             share: 0.0,
             connected: None,
             out: Vec::new(),
+            held: None,
+            heard: now,
+            probing: None,
         }
     }
 
@@ -390,9 +399,10 @@
     /// One send less is out.
     pub(crate) fn returned(&mut self, server: ServerId, sent: Time) {
         let Some(&i) = self.index.get(&server) else { return };
-        let out = &mut self.servers[i].out;
-        if let Some(at) = out.iter().position(|t| *t == sent) {
-            out.remove(at);
+        let s = &mut self.servers[i];
+        if let Some(at) = s.out.iter().position(|t| *t == sent) {
+            s.out.remove(at);
+            s.held = s.held.map(|held| (held - 1.0).max(0.0));
         }
     }
 
