Module: a cheap bounded server no longer closes the others

Checked with a log line at each place that refuses: 42 of 54 by the toll, at ready=8 and a going price of 2.16, 11 for want of anyone to draw, 1 for load. Ruled out: overload (one of 54), places for clients, probes that fail.

At fault: solve_shares in logic.rs. Lambda was bounded below by the least price of all. A cold server, whose share is bounded, is idle and grows cheap; where the others are one unit dearer, 1/(price + lambda) - 1/speed leaves them next to nothing, the shares sum to less than all, and the toll turns away the rest. Now only unbounded servers set that bound, and a bounded one below it takes its bound. Cold servers get no more than before.

Test a_cheap_bounded_server_does_not_close_the_others fails without it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -502,8 +502,8 @@
     }
 
     // ---- probes ----
-    /// Probes a few servers drawn by share; only the first may be cold, lest the best-of draw rush it. What was heard
-    /// a moment ago, or is being asked already, is not asked again.
+    /// Probes a few servers drawn by share; only the first may be cold, lest the best-of draw rush it. What
+    /// was heard a moment ago, or is being asked already, is not asked again.
     fn ask(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let wait = PROBE_WAIT * self.probe_latency;
         for k in 0..PROBES {
@@ -601,9 +601,16 @@
 /// − price·share. Newton steps on lambda, kept inside a shrinking bracket. Returns lambda.
 fn solve_shares(lines: &[Line], floor: f64, start: f64, shares: &mut Vec<f64>) -> f64 {
     let n = lines.len() as f64;
-    let share = |l: &Line, lambda: f64| (1.0 / (l.price + lambda) - 1.0 / l.speed).clamp(0.0, l.most);
-    // Where the bounds leave no room for n the rest is refused: lower, even dear servers would fill up.
-    let mut low = floor - lines.iter().map(|l| l.price).fold(f64::INFINITY, f64::min);
+    let share = |l: &Line, lambda: f64| match l.price + lambda {
+        dear if dear > 0.0 => (1.0 / dear - 1.0 / l.speed).clamp(0.0, l.most),
+        _ => l.most, // Cheaper than any share can make it: its bound alone holds.
+    };
+    // Where the bounds leave no room for n the rest is refused: lower, even dear servers would fill up. A
+    // bounded server that stays cheap, as an idle cold one does, doesn't count: it would close the others.
+    let least = |bounded: bool| lines.iter().filter(move |l| l.most.is_finite() == bounded).map(|l| l.price);
+    let least = |bounded| least(bounded).fold(f64::INFINITY, f64::min);
+    let cheapest = if least(false).is_finite() { least(false) } else { least(true) };
+    let mut low = floor - cheapest;
     let mut high = lines.iter().map(|l| l.speed - l.price).fold(low, f64::max);
     let mut lambda = if start > low && start < high { start } else { (low + high) / 2.0 };
     for _ in 0..60 {
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -65,6 +65,19 @@
     }
 }
 
+/// A cold server gets little, is idle and grows cheap. The others must still get all that it can't take, however dear they
+/// are beside it: on days of releases half of the requests were refused for want of shares.
+#[test]
+fn a_cheap_bounded_server_does_not_close_the_others() {
+    let cold = Line { most: 0.1, ..line(0.0, 1.0) };
+    let shares = solved(&[cold, line(1.5, 1.0), line(1.6, 1.0), line(1.7, 1.0)]);
+    assert!((shares.iter().sum::<f64>() - 4.0).abs() < 1e-3, "{shares:?}");
+    assert!(
+        shares[0] <= 0.1 && shares[1] > shares[2] && shares[2] > shares[3] && shares[3] > 0.0,
+        "{shares:?}"
+    );
+}
+
 #[test]
 fn shares_bear_extreme_prices_and_speeds() {
     assert!((solved(&[line(5.0, 1.0)])[0] - 1.0).abs() < 1e-5);
