--- /dev/null
+++ b/crates/standin/src/book.rs
@@ -0,0 +1,231 @@
+//! The books: what was asked, what ran where, what was answered, and the tables made of that.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::time::Duration;
+
+/// How an order ended for the client that placed it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served after so long, retries included.
+    Served(Duration),
+    /// Refused, with no time left to come again.
+    Refused,
+    /// Answered with no promise, or the connection broke.
+    Failed,
+    /// No answer within the client's time: the node broke its word.
+    Unanswered,
+}
+
+/// One class of orders.
+#[derive(Clone, Debug)]
+pub struct ClassBook {
+    /// Its name.
+    pub name: String,
+    /// An answer within this counts as in time.
+    pub promise: Duration,
+    /// Orders placed.
+    pub asked: u64,
+    /// Served late.
+    pub late: u64,
+    /// Refused in the end.
+    pub refused: u64,
+    /// Failed in the end.
+    pub failed: u64,
+    /// Never answered. Must be 0.
+    pub unanswered: u64,
+    /// Latencies of what was served.
+    pub latencies: Vec<Duration>,
+    /// Runs beyond the first of each order. Must be 0 where requests may not all be repeated.
+    pub run_twice: u64,
+    /// Whether orders may run more than once: what runs twice then is wasted work and no fault.
+    pub repeatable: bool,
+    runs: HashMap<u64, u32>,
+}
+
+/// One server.
+#[derive(Clone, Debug, Default)]
+pub struct ServerBook {
+    /// Orders whose work it began.
+    pub runs: u64,
+    /// Turned away unseen.
+    pub turned_away: u64,
+    /// Probes answered.
+    pub probes: u64,
+    /// The most that ever waited.
+    pub most_waiting: usize,
+    /// Core-seconds of work begun.
+    pub work: f64,
+    /// Times its process started.
+    pub starts: u32,
+    /// Times it was pushed over while cold. Must be 0.
+    pub fallen: u32,
+}
+
+/// All of it.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    /// By class.
+    pub classes: Vec<ClassBook>,
+    /// By server.
+    pub servers: Vec<ServerBook>,
+    /// Seconds that it covers, and cores of each server: what the servers' load is a part of.
+    pub span: (f64, usize),
+}
+
+impl Book {
+    /// Empty books for classes (name, promise, repeatable) and so many servers.
+    pub fn new(classes: impl IntoIterator<Item = (String, Duration, bool)>, servers: usize) -> Self {
+        let class = |(name, promise, repeatable)| ClassBook {
+            name,
+            promise,
+            asked: 0,
+            late: 0,
+            refused: 0,
+            failed: 0,
+            unanswered: 0,
+            latencies: Vec::new(),
+            run_twice: 0,
+            repeatable,
+            runs: HashMap::new(),
+        };
+        Book {
+            classes: classes.into_iter().map(class).collect(),
+            servers: vec![ServerBook::default(); servers],
+            span: (1.0, 1),
+        }
+    }
+
+    /// An order ended.
+    pub fn ended(&mut self, class: usize, end: End) {
+        let book = &mut self.classes[class];
+        match end {
+            End::Served(latency) => {
+                book.late += u64::from(latency > book.promise);
+                book.latencies.push(latency);
+            }
+            End::Refused => book.refused += 1,
+            End::Failed => book.failed += 1,
+            End::Unanswered => book.unanswered += 1,
+        }
+    }
+
+    /// Work on an order has begun at a server.
+    pub fn run(&mut self, server: usize, class: usize, order: u64, work: f64) {
+        self.servers[server].runs += 1;
+        self.servers[server].work += work;
+        let book = &mut self.classes[class];
+        let runs = book.runs.entry(order).or_default();
+        *runs += 1;
+        book.run_twice += u64::from(*runs > 1);
+    }
+
+    /// What must never be: orders without an answer, orders run twice that may not be, servers pushed over.
+    pub fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        for class in &self.classes {
+            let ends = class.latencies.len() as u64 + class.refused + class.failed + class.unanswered;
+            if class.unanswered > 0 {
+                faults.push(format!("{}: {} never answered", class.name, class.unanswered));
+            }
+            if ends != class.asked {
+                faults.push(format!("{}: {} asked and {ends} ended", class.name, class.asked));
+            }
+            if class.run_twice > 0 && !class.repeatable {
+                faults.push(format!("{}: {} run twice", class.name, class.run_twice));
+            }
+        }
+        for (n, _) in self.servers.iter().enumerate().filter(|s| s.1.fallen > 0) {
+            faults.push(format!("s{n}: pushed over while cold"));
+        }
+        faults
+    }
+
+    /// Totals so far: asked, in time, late, refused, failed.
+    pub fn totals(&self) -> [u64; 5] {
+        self.classes.iter().fold([0; 5], |t, c| {
+            let served = c.latencies.len() as u64;
+            let own = [c.asked, served - c.late, c.late, c.refused, c.failed + c.unanswered];
+            std::array::from_fn(|k| t[k] + own[k])
+        })
+    }
+}
+
+/// The value below which this part of the sorted values lies.
+fn quantile(sorted: &[Duration], part: f64) -> Duration {
+    let at = (sorted.len() as f64 * part) as usize;
+    sorted.get(at.min(sorted.len().saturating_sub(1))).copied().unwrap_or_default()
+}
+
+impl fmt::Display for Book {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let head = ["class", "asked", "in time", "late", "refused", "failed", "unanswered", "run twice"];
+        write!(f, "{:<12}", head[0])?;
+        head[1..].iter().try_for_each(|h| write!(f, "{h:>11}"))?;
+        writeln!(f, "{:>10}{:>10}", "p50 ms", "p99 ms")?;
+        for c in &self.classes {
+            let mut sorted = c.latencies.clone();
+            sorted.sort_unstable();
+            let served = sorted.len() as u64;
+            write!(f, "{:<12}", c.name)?;
+            for n in [c.asked, served - c.late, c.late, c.refused, c.failed, c.unanswered, c.run_twice] {
+                write!(f, "{n:>11}")?;
+            }
+            let ms = |part| quantile(&sorted, part).as_secs_f64() * 1e3;
+            writeln!(f, "{:>10.1}{:>10.1}", ms(0.5), ms(0.99))?;
+        }
+        writeln!(f)?;
+        writeln!(
+            f,
+            "{:<8}{:>9}{:>8}{:>13}{:>14}{:>9}{:>8}{:>8}",
+            "server", "runs", "load", "turned away", "most waiting", "probes", "starts", "fallen"
+        )?;
+        for (n, s) in self.servers.iter().enumerate() {
+            let load = s.work / (self.span.0 * self.span.1 as f64);
+            writeln!(
+                f,
+                "{:<8}{:>9}{:>8.2}{:>13}{:>14}{:>9}{:>8}{:>8}",
+                format!("s{n}"),
+                s.runs,
+                load,
+                s.turned_away,
+                s.most_waiting,
+                s.probes,
+                s.starts,
+                s.fallen
+            )?;
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Books that find no fault whatever happens would make every test on them worthless.
+    #[test]
+    fn each_fault_is_found() {
+        let fresh = || Book::new([("buy".into(), Duration::from_millis(9), false)], 2);
+        let served = End::Served(Duration::from_millis(3));
+        let mut fine = fresh();
+        fine.classes[0].asked = 2;
+        (0..2).for_each(|order| fine.run(0, 0, order, 0.1));
+        (0..2).for_each(|_| fine.ended(0, served));
+        assert_eq!(fine.faults(), Vec::<String>::new());
+
+        let mut twice = fine.clone();
+        twice.run(1, 0, 1, 0.1);
+        assert_eq!(twice.faults(), ["buy: 1 run twice"]);
+        let mut silent = fresh();
+        silent.classes[0].asked = 1;
+        silent.ended(0, End::Unanswered);
+        assert_eq!(silent.faults(), ["buy: 1 never answered"]);
+        let mut lost = fine.clone();
+        lost.classes[0].asked = 3;
+        assert_eq!(lost.faults(), ["buy: 3 asked and 2 ended"]);
+        let mut fallen = fine;
+        fallen.servers[1].fallen = 1;
+        assert_eq!(fallen.faults(), ["s1: pushed over while cold"]);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/chance.rs
@@ -0,0 +1,35 @@
+//! Seeded randomness: the same seed gives the same arrivals, work and choices.
+
+use rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+/// A stream of random figures.
+#[derive(Clone, Debug)]
+pub struct Chance(Xoshiro256PlusPlus);
+
+impl Chance {
+    /// One of many independent streams under a seed.
+    pub fn new(seed: u64, stream: u64) -> Self {
+        Chance(Xoshiro256PlusPlus::seed_from_u64(seed ^ stream.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
+    }
+
+    /// Evenly from `[0, 1)`.
+    pub fn unit(&mut self) -> f64 {
+        (self.0.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Exponential with this mean.
+    pub fn exponential(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.unit()).ln()
+    }
+
+    /// Evenly from `0..n`; 0 where there is nothing to choose from.
+    pub fn below(&mut self, n: usize) -> usize {
+        ((self.unit() * n as f64) as usize).min(n.saturating_sub(1))
+    }
+
+    /// 64 random bits.
+    pub fn bits(&mut self) -> u64 {
+        self.0.next_u64()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/client.rs
@@ -0,0 +1,193 @@
+//! Clients of nodes: they place orders, wait no longer than their time, and come again only where that is harmless.
+
+use crate::book::End;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout_at, Instant};
+
+/// Before an order is placed again where nobody said how long to wait.
+const BACK_OFF: Duration = Duration::from_millis(50);
+
+/// What may be done again with orders of a class.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// Anything: they are safe, and sent as GET.
+    Safe,
+    /// They carry a key. A client that can't tell which servers remember it comes again only after a refusal.
+    Keyed,
+    /// Nothing, unless refused.
+    Unsafe,
+}
+
+/// A class as clients see it.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Its name, the first part of the path.
+    pub name: &'static str,
+    /// How far orders may be repeated.
+    pub repeat: Repeat,
+    /// How long clients wait, all tries together.
+    pub deadline: Duration,
+    /// An answer within this counts in full.
+    pub promise: Duration,
+    /// Its part of all orders.
+    pub share: f64,
+}
+
+/// One order.
+#[derive(Clone, Copy, Debug)]
+pub struct Order<'a> {
+    /// Its class.
+    pub class: &'a Class,
+    /// Its number, part of each try's id and its key.
+    pub number: u64,
+    /// The tenant's name.
+    pub tenant: &'a str,
+    /// Expected work in seconds.
+    pub work: f64,
+}
+
+/// The clients' side of a set of nodes, with the connections that rest.
+pub struct Clients {
+    nodes: Vec<SocketAddr>,
+    slack: Duration,
+    idle: Vec<RefCell<Vec<Sender>>>,
+}
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// What came of one try.
+enum Reply {
+    Answered(StatusCode, Option<Duration>),
+    /// Nothing was sent.
+    Unsent,
+    Broken,
+}
+
+impl Clients {
+    /// Clients that know these nodes and listen for an answer so much longer than they say.
+    pub fn new(nodes: Vec<SocketAddr>, slack: Duration) -> Self {
+        let idle = nodes.iter().map(|_| RefCell::default()).collect();
+        Clients { nodes, slack, idle }
+    }
+
+    /// Places an order, first with the node of this number (counted round), and stays with it to its end.
+    pub async fn place(&self, order: Order<'_>, first: usize) -> End {
+        let placed = Instant::now();
+        let due = placed + order.class.deadline;
+        let mut tries = 0;
+        loop {
+            let node = (first + tries) % self.nodes.len();
+            let request = request(order, tries, due - Instant::now());
+            tries += 1;
+            let Ok(reply) = timeout_at(due + self.slack, self.once(node, request)).await else {
+                return End::Unanswered;
+            };
+            let (otherwise, wait) = match reply {
+                Reply::Answered(StatusCode::OK, _) => return End::Served(placed.elapsed()),
+                Reply::Answered(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, wait) => {
+                    (End::Refused, wait)
+                }
+                Reply::Unsent => (End::Failed, None),
+                Reply::Answered(..) | Reply::Broken if order.class.repeat == Repeat::Safe => {
+                    (End::Failed, None)
+                }
+                Reply::Answered(..) | Reply::Broken => return End::Failed,
+            };
+            let wait = wait.unwrap_or(BACK_OFF * tries as u32);
+            if Instant::now() + wait >= due {
+                return otherwise;
+            }
+            sleep(wait).await;
+        }
+    }
+
+    /// Whether a node says that it is ready.
+    pub async fn ready(&self, node: usize) -> bool {
+        let request = Request::get("/health/ready").header("host", "shop").body(Full::default());
+        let reply = self.once(node, request.expect("a fixed request is valid")).await;
+        matches!(reply, Reply::Answered(StatusCode::OK, _))
+    }
+
+    /// One try. A connection that was kept may have been closed in the moment of its use; what hyper hands back unsent
+    /// goes out once more on a new one.
+    async fn once(&self, node: usize, mut request: Request<Full<Bytes>>) -> Reply {
+        loop {
+            let kept = self.take_idle(node);
+            let fresh = kept.is_none();
+            let mut sender = match kept {
+                Some(sender) => sender,
+                None => match self.connect(node).await {
+                    Some(sender) => sender,
+                    None => return Reply::Unsent,
+                },
+            };
+            match sender.try_send_request(request).await {
+                Ok(response) => return self.finish(node, sender, response).await,
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) if !fresh => request = unsent,
+                    Some(_) => return Reply::Unsent,
+                    None => return Reply::Broken,
+                },
+            }
+        }
+    }
+
+    async fn finish(&self, node: usize, sender: Sender, response: Response<hyper::body::Incoming>) -> Reply {
+        let status = response.status();
+        let wait = response.headers().get("retry-after").and_then(|v| v.to_str().ok()?.parse::<f64>().ok());
+        let wait = wait.filter(|w| (0.0..1e6).contains(w)).map(Duration::from_secs_f64);
+        let closing = response.headers().get("connection").is_some_and(|v| v.as_bytes() == b"close");
+        if response.into_body().collect().await.is_err() {
+            return Reply::Broken;
+        }
+        if !closing {
+            self.idle[node].borrow_mut().push(sender);
+        }
+        Reply::Answered(status, wait)
+    }
+
+    fn take_idle(&self, node: usize) -> Option<Sender> {
+        let mut idle = self.idle[node].borrow_mut();
+        while let Some(sender) = idle.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self, node: usize) -> Option<Sender> {
+        let stream = TcpStream::connect(self.nodes[node]).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        spawn_local(connection);
+        Some(sender)
+    }
+}
+
+fn request(order: Order<'_>, tries: usize, left: Duration) -> Request<Full<Bytes>> {
+    let (class, number) = (order.class, order.number);
+    let method = if class.repeat == Repeat::Safe { "GET" } else { "POST" };
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("/{}", class.name))
+        .header("host", "shop")
+        .header("x-request-id", format!("{number:x}-{tries}"))
+        .header("x-tenant-id", order.tenant)
+        .header("x-timeout", format!("{}u", left.as_micros().max(1)))
+        .header("x-cost", format!("{:.0}", order.work * 1e6));
+    if class.repeat == Repeat::Keyed {
+        request = request.header("idempotency-key", format!("{number:x}"));
+    }
+    let body = if class.repeat == Repeat::Safe { Bytes::new() } else { Bytes::from_static(b"one") };
+    request.body(Full::new(body)).expect("names and numbers are valid in a head")
+}
--- /dev/null
+++ b/crates/standin/src/fleet.rs
@@ -0,0 +1,431 @@
+//! A fleet on loopback: modelled servers, a registry, real nodes and clients, with a fault script played on them.
+
+use crate::book::Book;
+use crate::chance::Chance;
+use crate::client::{Class, Clients, Order, Repeat};
+use crate::model::Capacity;
+use crate::process::{self, ConfigFile};
+use crate::registry::Registry;
+use crate::script::{Deed, Fault, NodeFault, Script, Servers};
+use crate::server::{Server, Shared};
+use serde_json::{json, Value};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitStatus;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::Child;
+use tokio::task::{spawn_local, JoinSet};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
+/// For a node to start, to be ready, or to end.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Between a death and the registry's word on it.
+const NOTICE: Duration = Duration::from_millis(1500);
+/// Between any other change and the registry's word on it.
+const WORD: Duration = Duration::from_millis(100);
+
+/// What to build and how long to run it.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The node's program.
+    pub binary: PathBuf,
+    /// How many nodes.
+    pub nodes: usize,
+    /// How many servers, four to a cell.
+    pub servers: usize,
+    /// Cores of each.
+    pub cores: usize,
+    /// Mean work of an order, in seconds.
+    pub work: f64,
+    /// Orders placed, as a part of what all servers can do.
+    pub load: f64,
+    /// For how long orders are placed.
+    pub length: Duration,
+    /// How long a server that starts takes to be warm.
+    pub warm_up: Duration,
+    /// An answer that comes no later than this after its time is not held against a node.
+    pub slack: Duration,
+    /// What goes wrong, and the seed.
+    pub script: Script,
+}
+
+/// Why a fleet could not be run.
+#[derive(Debug, thiserror::Error)]
+pub enum FleetError {
+    /// A socket or a process could not be had.
+    #[error("{what}: {source}")]
+    Io {
+        /// What for.
+        what: String,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// A node ended by itself.
+    #[error("node n{node} ended with {status}; its last words: {log}")]
+    Ended {
+        /// Which.
+        node: usize,
+        /// How.
+        status: ExitStatus,
+        /// The end of its log.
+        log: String,
+    },
+    /// A node was not ready in time.
+    #[error("node n{node} was not ready within 20 s; its last words: {log}")]
+    NotReady {
+        /// Which.
+        node: usize,
+        /// The end of its log.
+        log: String,
+    },
+}
+
+fn io(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> FleetError {
+    let what = what.into();
+    move |source| FleetError::Io { what, source }
+}
+
+/// The classes of the stand-in shop.
+pub fn classes() -> Vec<Class> {
+    let class = |name, repeat, share| Class {
+        name,
+        repeat,
+        deadline: Duration::from_millis(900),
+        promise: Duration::from_millis(350),
+        share,
+    };
+    vec![
+        class("browse", Repeat::Safe, 0.35),
+        class("gem-topup", Repeat::Keyed, 0.20),
+        class("item-buy", Repeat::Unsafe, 0.45),
+    ]
+}
+
+/// For how long a cell remembers a key.
+const WINDOW: Duration = Duration::from_secs(2);
+
+/// The settings of the nodes' file.
+fn settings(plan: &Plan, classes: &[Class]) -> Value {
+    let ns = |d: Duration| d.as_nanos() as u64;
+    let profile = |c: &Class| {
+        let effect = match c.repeat {
+            Repeat::Safe => "free",
+            Repeat::Keyed => "guarded",
+            Repeat::Unsafe => "single_shot",
+        };
+        json!({"name": c.name, "effect": effect, "key_scope": "cell", "repeat_window_ns": ns(WINDOW),
+               "promise_ns": ns(c.promise), "deadline_ns": ns(c.deadline), "importance": 1.0})
+    };
+    let capacity = capacity(plan);
+    json!({
+        "balancers": plan.nodes, "zone": 0, "zones": ["here"], "kinds": ["std"], "registry_mode": "automatic",
+        "profiles": classes.iter().map(profile).collect::<Vec<_>>(),
+        "tenants": [{"name": "one", "quota_per_s": 1e6, "share": 1.0}],
+        "limits": {"try_limit": 3, "conn_idle_ns": 15_000_000_000u64, "connect_timeout_ns": 250_000_000u64,
+                   "may_cancel": true, "may_probe": true, "second_copies": true,
+                   "retry_after": true, "max_retry_after_ns": 2_000_000_000u64},
+        "report": {"how": "pull", "fields": ["outstanding", "backlog", "utilization"]},
+        "worth_by": "work",
+        "rules": {"ask_every_ns": 10_000_000_000u64, "cold_from": capacity.cold_from, "drain_grace_ns": 1_000_000_000u64,
+                  "fall_multiple": capacity.fall_multiple, "overload_for_ns": ns(capacity.fall_time),
+                  "warm_up_ns": ns(capacity.warm_up)}
+    })
+}
+
+fn capacity(plan: &Plan) -> Capacity {
+    Capacity {
+        cores: plan.cores,
+        queue: plan.cores * 8,
+        cold_from: 0.2,
+        warm_up: plan.warm_up,
+        fall_multiple: 3.0,
+        fall_time: Duration::from_secs(2),
+    }
+}
+
+/// A node's process with the end of its log.
+struct NodeProcess {
+    child: Child,
+    address: SocketAddr,
+    log: Rc<RefCell<String>>,
+    config: Value,
+    _file: ConfigFile,
+}
+
+impl NodeProcess {
+    async fn start(plan: &Plan, number: usize, config: Value) -> Result<Self, FleetError> {
+        let what = || format!("starting node n{number} ({})", plan.binary.display());
+        let file = ConfigFile::new(&config.to_string()).map_err(io(what()))?;
+        let mut child = process::start(&plan.binary, &file, &[]).map_err(io(what()))?;
+        let log = Rc::new(RefCell::new(String::new()));
+        let mut lines = BufReader::new(child.stderr.take().expect("it is piped")).lines();
+        let listening = async {
+            while let Ok(Some(line)) = lines.next_line().await {
+                let address = line.split("listening on ").nth(1).and_then(|a| a.parse().ok());
+                keep(&log, &line);
+                if address.is_some() {
+                    return address;
+                }
+            }
+            None
+        };
+        let address = timeout(PATIENCE, listening).await.ok().flatten();
+        let Some(address) = address else {
+            let ended = timeout(PATIENCE, child.wait()).await;
+            let log = log.take();
+            return Err(match ended {
+                Ok(Ok(status)) => FleetError::Ended { node: number, status, log },
+                _ => FleetError::NotReady { node: number, log },
+            });
+        };
+        let kept = log.clone();
+        spawn_local(async move {
+            while let Ok(Some(line)) = lines.next_line().await {
+                keep(&kept, &line);
+            }
+        });
+        Ok(NodeProcess { child, address, log, config, _file: file })
+    }
+}
+
+/// Keeps a line, and of those before it no more than a screenful.
+fn keep(log: &RefCell<String>, line: &str) {
+    let mut log = log.borrow_mut();
+    log.push_str(line);
+    log.push('\n');
+    while log.len() > 4096 {
+        let end = log.find('\n').map_or(log.len(), |at| at + 1);
+        log.drain(..end);
+    }
+}
+
+/// What is under way, once a second and whenever a fault is played.
+pub enum Report<'a> {
+    /// So much time has passed, and this is in the books.
+    Second(Duration, &'a Book),
+    /// This is done now.
+    Deed(Duration, &'a Deed),
+}
+
+/// Builds the fleet, plays the script while clients place orders, waits for the last answer, and returns the books.
+/// Has to run inside a `tokio::task::LocalSet`.
+pub async fn play(plan: Plan, mut report: impl FnMut(Report)) -> Result<Book, FleetError> {
+    let classes = classes();
+    let book = Book::new(
+        classes.iter().map(|c| (c.name.to_owned(), c.promise, c.repeat == Repeat::Safe)),
+        plan.servers,
+    );
+    let shared = Shared::new(book, WINDOW);
+    let registry = Registry::start().await.map_err(io("the registry"))?;
+    let mut servers = Vec::new();
+    for n in 0..plan.servers {
+        let cell = u16::try_from(n / 4).unwrap_or(u16::MAX);
+        let address = crate::scripted::own_address();
+        let server = Server::new(n, cell, address, capacity(&plan), plan.script.seed, shared.clone());
+        server.start(false).map_err(io(format!("server s{n}")))?;
+        registry.tell(member(n, &server, "active", 0));
+        servers.push(server);
+    }
+    let mut nodes = Vec::new();
+    for n in 0..plan.nodes {
+        let config = json!({
+            "name": format!("n{n}"), "listen": "127.0.0.1:0", "discovery": registry.address().to_string(),
+            "seed": format!("{:x}", plan.script.seed.wrapping_add(n as u64)),
+            "limits": {"sockets": 1024, "memory_mb": 192}, "settings": settings(&plan, &classes),
+        });
+        nodes.push(NodeProcess::start(&plan, n, config).await?);
+    }
+    let clients = Rc::new(Clients::new(nodes.iter().map(|n| n.address).collect(), plan.slack));
+    for (n, node) in nodes.iter().enumerate() {
+        let ready = async {
+            while !clients.ready(n).await {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let log = || node.log.borrow().clone();
+        timeout(PATIENCE, ready).await.map_err(|_| FleetError::NotReady { node: n, log: log() })?;
+    }
+
+    let began = Instant::now();
+    let orders = spawn_local(place_orders(plan.clone(), classes, clients, shared.clone()));
+    let faults = async {
+        let mut chance = Chance::new(plan.script.seed, 2);
+        let deeds = JoinSet::new();
+        let mut fleet = Fleet { plan: &plan, registry: &registry, servers: &servers, nodes, deeds };
+        let mut entries = plan.script.entries.iter().filter(|e| e.at < plan.length).peekable();
+        let mut seconds = tokio::time::interval_at(began + Duration::from_secs(1), Duration::from_secs(1));
+        while began.elapsed() < plan.length {
+            let next = entries.peek().map_or(plan.length, |e| e.at);
+            tokio::select! {
+                biased;
+                () = sleep_until(began + next) => if let Some(entry) = entries.next() {
+                    report(Report::Deed(entry.at, &entry.deed));
+                    fleet.carry_out(&entry.deed, &mut chance).await?;
+                },
+                _ = seconds.tick() => report(Report::Second(began.elapsed(), &shared.book.borrow())),
+            }
+            fleet.check()?;
+        }
+        while let Some(done) = fleet.deeds.join_next().await {
+            done.unwrap_or(Ok(()))?;
+        }
+        Ok::<_, FleetError>(fleet.nodes)
+    };
+    let mut nodes = faults.await?;
+    // No order waits for longer than its deadline.
+    let _ = timeout(PATIENCE, orders).await;
+    for (n, node) in nodes.iter_mut().enumerate() {
+        let what = || format!("ending node n{n}");
+        process::signal(&node.child, "TERM").await.map_err(io(what()))?;
+        let status = timeout(PATIENCE, node.child.wait()).await;
+        match status {
+            Ok(Ok(status)) if status.success() => {}
+            Ok(Ok(status)) => return Err(FleetError::Ended { node: n, status, log: node.log.take() }),
+            _ => return Err(FleetError::NotReady { node: n, log: node.log.take() }),
+        }
+    }
+    for server in &servers {
+        server.die().await;
+    }
+    let mut book = shared.book.take();
+    book.span = (plan.length.as_secs_f64(), plan.cores);
+    Ok(book)
+}
+
+fn member(n: usize, server: &Server, phase: &str, started: u64) -> Value {
+    json!({"id": format!("s{n}"), "host_port": server.address().to_string(), "locality": "here", "flavor": "std",
+           "cell": server.cell(), "phase": phase, "size": 1.0, "up_since_ms": started})
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+struct Fleet<'a> {
+    plan: &'a Plan,
+    registry: &'a Rc<Registry>,
+    servers: &'a [Rc<Server>],
+    nodes: Vec<NodeProcess>,
+    /// Those that take time.
+    deeds: JoinSet<Result<(), FleetError>>,
+}
+
+impl Fleet<'_> {
+    /// A node that ended by itself ends the run.
+    fn check(&mut self) -> Result<(), FleetError> {
+        for (node, process) in self.nodes.iter_mut().enumerate() {
+            if let Ok(Some(status)) = process.child.try_wait() {
+                return Err(FleetError::Ended { node, status, log: process.log.take() });
+            }
+        }
+        Ok(())
+    }
+
+    async fn carry_out(&mut self, deed: &Deed, chance: &mut Chance) -> Result<(), FleetError> {
+        match *deed {
+            Deed::RegistrySilent(length) => self.registry.silence(length),
+            Deed::Node(n, fault) => {
+                let node = &mut self.nodes[n];
+                let name = match fault {
+                    NodeFault::Restart => "TERM",
+                    NodeFault::Kill => "KILL",
+                };
+                process::signal(&node.child, name).await.map_err(io(format!("ending node n{n}")))?;
+                let _ = timeout(PATIENCE, node.child.wait()).await;
+                let mut config = node.config.clone();
+                config["listen"] = json!(node.address.to_string());
+                *node = NodeProcess::start(self.plan, n, config).await?;
+            }
+            Deed::Servers(who, fault) => {
+                let all = self.servers.len();
+                let (first, last) = match who {
+                    Servers::Range(first, last) => (first, last.min(all - 1)),
+                    Servers::All => (0, all - 1),
+                    Servers::Any => {
+                        let one = chance.below(all);
+                        (one, one)
+                    }
+                };
+                for (turn, n) in (first..=last).enumerate() {
+                    self.befall(n, turn as u32, fault);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn befall(&mut self, n: usize, turn: u32, fault: Fault) {
+        let (server, registry) = (self.servers[n].clone(), self.registry.clone());
+        match fault {
+            Fault::Freeze(length) => server.freeze(length),
+            Fault::Slow(thousandths, length) => server.slow(f64::from(thousandths) / 1e3, length),
+            Fault::Die => {
+                self.deeds.spawn_local(async move {
+                    server.die().await;
+                    sleep(NOTICE).await;
+                    registry.tell(member(n, &server, "left", 0));
+                    Ok(())
+                });
+            }
+            Fault::Start => {
+                self.deeds.spawn_local(start_cold(n, server, registry));
+            }
+            Fault::Deploy { drain, every } => {
+                self.deeds.spawn_local(async move {
+                    sleep(every * turn).await;
+                    registry.tell(member(n, &server, "leaving", 0));
+                    sleep(drain).await;
+                    server.die().await;
+                    start_cold(n, server, registry).await
+                });
+            }
+        }
+    }
+}
+
+async fn start_cold(n: usize, server: Rc<Server>, registry: Rc<Registry>) -> Result<(), FleetError> {
+    let started = unix_ms();
+    server.start(true).map_err(io(format!("starting server s{n} again")))?;
+    sleep(WORD).await;
+    registry.tell(member(n, &server, "active", started));
+    Ok(())
+}
+
+/// Places orders at random times until the plan's end, and waits for all to end.
+async fn place_orders(plan: Plan, classes: Vec<Class>, clients: Rc<Clients>, shared: Rc<Shared>) {
+    let classes = Rc::new(classes);
+    let rate = plan.load * (plan.servers * plan.cores) as f64 / plan.work;
+    let mut chance = Chance::new(plan.script.seed, 1);
+    let mut at = Instant::now();
+    let end = at + plan.length;
+    let mut open = JoinSet::new();
+    let mut number = 0;
+    loop {
+        at += Duration::from_secs_f64(chance.exponential(1.0 / rate));
+        if at >= end {
+            break;
+        }
+        sleep_until(at).await;
+        while open.try_join_next().is_some() {}
+        number += 1;
+        let mut left = chance.unit();
+        let class = classes.iter().position(|c| {
+            left -= c.share;
+            left < 0.0
+        });
+        let class = class.unwrap_or(classes.len() - 1);
+        let work = plan.work * (0.5 + 0.5 * chance.exponential(1.0));
+        let node = chance.below(plan.nodes);
+        shared.book.borrow_mut().classes[class].asked += 1;
+        let (clients, shared, classes) = (clients.clone(), shared.clone(), classes.clone());
+        open.spawn_local(async move {
+            let order = Order { class: &classes[class], number, tenant: "one", work };
+            let end = clients.place(order, node).await;
+            shared.book.borrow_mut().ended(class, end);
+        });
+    }
+    while open.join_next().await.is_some() {}
+}
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,150 @@
+//! `birchswitch-standin`: plays the stand-ins round the real node, as a demonstration.
+
+#![forbid(unsafe_code)]
+
+use birchswitch_standin::book::Book;
+use birchswitch_standin::fleet::{self, Plan, Report};
+use birchswitch_standin::process;
+use birchswitch_standin::script::Script;
+use clap::{Args, Parser, Subcommand};
+use std::error::Error;
+use std::path::PathBuf;
+use std::process::{Command, ExitCode};
+use std::time::Duration;
+
+/// Stand-in servers, registry and clients round the real node, on loopback.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Play,
+}
+
+#[derive(Subcommand)]
+enum Play {
+    /// A launch minute: a freeze, a deploy with cold successors and a death, and a table of what came of it.
+    Demo(Demo),
+}
+
+#[derive(Args)]
+struct Demo {
+    /// Nodes
+    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u16).range(1..=64))]
+    nodes: u16,
+    /// Servers, four to a cell
+    #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u16).range(1..=200))]
+    servers: u16,
+    /// Orders placed, as a part of what all servers can do
+    #[arg(long, default_value_t = 0.6, value_parser = part)]
+    load: f64,
+    /// Length in seconds
+    #[arg(long, default_value_t = 60, value_parser = clap::value_parser!(u16).range(1..=600))]
+    seconds: u16,
+    /// A fault script to play in place of the launch minute's own
+    #[arg(long)]
+    script: Option<PathBuf>,
+    /// The seed, in place of the script's
+    #[arg(long)]
+    seed: Option<u64>,
+    /// A node's program to run in place of this workspace's own
+    #[arg(long)]
+    node: Option<PathBuf>,
+}
+
+/// The launch minute, for the default fleet.
+const LAUNCH: &str = "\
+seed 7
+8s   s2      freeze 1500ms
+15s  s4-s7   deploy drain 2s every 4s
+38s  s9      die
+48s  s9      start
+";
+
+fn part(text: &str) -> Result<f64, String> {
+    let part = text.parse::<f64>().ok().filter(|p| (0.01..=5.0).contains(p));
+    part.ok_or_else(|| "wanted a figure from 0.01 to 5".into())
+}
+
+fn main() -> ExitCode {
+    let Play::Demo(demo) = Arguments::parse().command;
+    match run(demo) {
+        Ok(book) if book.faults().is_empty() => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(2),
+        Err(error) => {
+            eprintln!("birchswitch-standin: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(demo: Demo) -> Result<Book, Box<dyn Error>> {
+    let (nodes, servers) = (usize::from(demo.nodes), usize::from(demo.servers));
+    let mut script = match &demo.script {
+        Some(path) => {
+            let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+            Script::parse(&text, servers, nodes).map_err(|e| format!("{}: {e}", path.display()))?
+        }
+        None => Script::parse(LAUNCH, servers, nodes)
+            .map_err(|e| format!("the launch minute wants at least 10 servers: {e}"))?,
+    };
+    script.seed = demo.seed.unwrap_or(script.seed);
+    let binary = match demo.node {
+        Some(path) => path,
+        None => build_node()?,
+    };
+    let plan = Plan {
+        binary,
+        nodes,
+        servers,
+        cores: 2,
+        work: 0.020,
+        load: demo.load,
+        length: Duration::from_secs(demo.seconds.into()),
+        warm_up: Duration::from_secs(10),
+        slack: Duration::from_millis(50),
+        script,
+    };
+    println!("{nodes} nodes, {servers} servers, {} s, load {}; script:", demo.seconds, demo.load);
+    plan.script.to_string().lines().for_each(|l| println!("    {l}"));
+    println!("\n{:>5}{:>9}{:>9}{:>7}{:>9}{:>8}", "s", "asked", "in time", "late", "refused", "failed");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let book = tokio::task::LocalSet::new().block_on(&runtime, fleet::play(plan, progress))?;
+    println!("\n{book}");
+    match book.faults()[..] {
+        [] => println!("no rule broken: each order had one final answer, none that may not ran twice"),
+        ref faults => println!("BROKEN RULES: {}", faults.join("; ")),
+    }
+    Ok(book)
+}
+
+fn progress(report: Report) {
+    match report {
+        Report::Second(at, book) => {
+            let [asked, in_time, late, refused, failed] = book.totals();
+            println!("{:>5}{asked:>9}{in_time:>9}{late:>7}{refused:>9}{failed:>8}", at.as_secs());
+        }
+        Report::Deed(at, deed) => println!("{:>5}  {deed}", at.as_secs()),
+    }
+}
+
+/// Builds the node beside this program, where cargo started it, and says where it is.
+fn build_node() -> Result<PathBuf, Box<dyn Error>> {
+    let binary = process::node_binary()?;
+    if let Some(cargo) = std::env::var_os("CARGO") {
+        let mut build = Command::new(cargo);
+        build.args(["build", "--locked", "--package", "birchswitch"]);
+        if !cfg!(debug_assertions) {
+            build.arg("--release");
+        }
+        if !build.status()?.success() {
+            return Err("the node could not be built".into());
+        }
+    }
+    match binary.exists() {
+        true => Ok(binary),
+        false => {
+            Err(format!("no node at {}: run this through cargo, or name one with --node", binary.display())
+                .into())
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/model.rs
@@ -0,0 +1,382 @@
+//! How a server works, without I/O: cores, a bounded queue, a cold start, freezes and slow spells.
+//!
+//! A model is told the time with every call, as the time since an origin that its owner chooses, and never runs
+//! backwards. Work is counted in seconds on one warm core.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Longest step over which a speed that changes is taken for constant.
+const STEP: Duration = Duration::from_millis(5);
+
+/// What a server is able to do.
+#[derive(Clone, Debug)]
+pub struct Capacity {
+    /// Requests worked on at a time.
+    pub cores: usize,
+    /// Requests that may wait; more are turned away unseen.
+    pub queue: usize,
+    /// The part of its speed that it starts with, above 0 and at most 1.
+    pub cold_from: f64,
+    /// How long it takes to reach all of it, evenly.
+    pub warm_up: Duration,
+    /// A cold server that is given more than this multiple of its present capacity ...
+    pub fall_multiple: f64,
+    /// ... over this long is pushed over, and stays down.
+    pub fall_time: Duration,
+}
+
+/// A request's name at its server.
+pub type Job = u64;
+
+/// What becomes of a request that is offered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It will be worked on, at once or later.
+    Taken,
+    /// It never ran and won't.
+    TurnedAway,
+}
+
+/// What happened to a request inside the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// Work on it has begun: from here on it may have had its effect.
+    Begun(Job),
+    /// It is done.
+    Done(Job),
+}
+
+/// A server's word on its load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// Requests in hand, those that wait included.
+    pub held: usize,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Busy part of its cores since the last report, from 0 to 1.
+    pub busy: f64,
+}
+
+/// See the module's own words.
+#[derive(Debug)]
+pub struct Model {
+    capacity: Capacity,
+    now: Duration,
+    /// When it started cold; None: it has been warm for ever.
+    started: Option<Duration>,
+    frozen_until: Duration,
+    /// A factor on its speed, and until when.
+    slow: (f64, Duration),
+    draining: bool,
+    fallen: bool,
+    /// Those worked on, with what is left to do.
+    running: Vec<(Job, f64)>,
+    waiting: VecDeque<(Job, f64)>,
+    /// What came while it was cold, for as long as it counts towards pushing it over.
+    recent: VecDeque<(Duration, f64)>,
+    /// Core-seconds busy and available since the last report.
+    used: (f64, f64),
+    busy: f64,
+    /// The most that ever waited.
+    most_waiting: usize,
+}
+
+impl Model {
+    /// Starts at `now`; a server that is not `cold` has all its speed.
+    pub fn new(capacity: Capacity, now: Duration, cold: bool) -> Self {
+        Model {
+            capacity,
+            now,
+            started: cold.then_some(now),
+            frozen_until: Duration::ZERO,
+            slow: (1.0, Duration::ZERO),
+            draining: false,
+            fallen: false,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            recent: VecDeque::new(),
+            used: (0.0, 0.0),
+            busy: 0.0,
+            most_waiting: 0,
+        }
+    }
+
+    /// Offers a request with this much work, in seconds.
+    pub fn offer(&mut self, now: Duration, job: Job, work: f64, out: &mut Vec<Progress>) -> Admission {
+        self.advance(now, out);
+        self.count_towards_fall(work);
+        if self.draining || self.fallen || self.waiting.len() >= self.capacity.queue {
+            return Admission::TurnedAway;
+        }
+        self.waiting.push_back((job, work));
+        self.begin(out);
+        self.most_waiting = self.most_waiting.max(self.waiting.len());
+        Admission::Taken
+    }
+
+    /// Takes it no further until then: it neither works nor speaks.
+    pub fn freeze(&mut self, now: Duration, length: Duration, out: &mut Vec<Progress>) {
+        self.advance(now, out);
+        self.frozen_until = self.frozen_until.max(now + length);
+    }
+
+    /// Works at a part of its speed for a while.
+    pub fn slow(&mut self, now: Duration, factor: f64, length: Duration, out: &mut Vec<Progress>) {
+        self.advance(now, out);
+        self.slow = (factor, now + length);
+    }
+
+    /// Takes nothing new from now on, or does again.
+    pub fn drain(&mut self, draining: bool) {
+        self.draining = draining;
+    }
+
+    /// Whether it neither works nor speaks at this time.
+    pub fn frozen(&self, now: Duration) -> bool {
+        now < self.frozen_until
+    }
+
+    /// When it will thaw, or thawed last.
+    pub fn frozen_until(&self) -> Duration {
+        self.frozen_until
+    }
+
+    /// Whether it was pushed over while it was cold.
+    pub fn fallen(&self) -> bool {
+        self.fallen
+    }
+
+    /// The most that ever waited.
+    pub fn most_waiting(&self) -> usize {
+        self.most_waiting
+    }
+
+    /// Requests in hand.
+    pub fn held(&self) -> usize {
+        self.running.len() + self.waiting.len()
+    }
+
+    /// Its load, as it would report it now.
+    pub fn load(&mut self, now: Duration, out: &mut Vec<Progress>) -> Load {
+        self.advance(now, out);
+        let (used, available) = self.used;
+        // Too short a time says nothing: the last word stands.
+        if available >= self.capacity.cores as f64 * 2.0 * STEP.as_secs_f64() {
+            (self.busy, self.used) = ((used / available).min(1.0), (0.0, 0.0));
+        }
+        Load { held: self.held(), waiting: self.waiting.len(), busy: self.busy }
+    }
+
+    /// Works up to `now` and says what came of it, in order.
+    pub fn advance(&mut self, now: Duration, out: &mut Vec<Progress>) {
+        while self.now < now {
+            let step = self.step().min(now - self.now);
+            let work = self.speed() * step.as_secs_f64();
+            self.used.0 += self.running.len() as f64 * step.as_secs_f64();
+            self.used.1 += self.capacity.cores as f64 * step.as_secs_f64();
+            self.now += step;
+            let done = |left: f64| left <= 1e-9;
+            self.running.iter_mut().for_each(|(_, left)| *left -= work);
+            out.extend(self.running.iter().filter(|r| done(r.1)).map(|r| Progress::Done(r.0)));
+            self.running.retain(|r| !done(r.1));
+            self.begin(out);
+        }
+    }
+
+    /// When it should be looked at next, if nothing else happens; None: it has nothing to do.
+    pub fn next(&self) -> Option<Duration> {
+        match (self.frozen(self.now), self.held()) {
+            (_, 0) => None,
+            (true, _) => Some(self.frozen_until),
+            (false, _) => Some(self.now + self.step()),
+        }
+    }
+
+    /// The part of a warm core's speed that each core has now.
+    fn speed(&self) -> f64 {
+        if self.frozen(self.now) {
+            return 0.0;
+        }
+        let slow = if self.now < self.slow.1 { self.slow.0 } else { 1.0 };
+        self.warmth() * slow
+    }
+
+    fn warmth(&self) -> f64 {
+        let Some(started) = self.started else { return 1.0 };
+        let age = (self.now - started).as_secs_f64() / self.capacity.warm_up.as_secs_f64().max(1e-9);
+        (self.capacity.cold_from + (1.0 - self.capacity.cold_from) * age).min(1.0)
+    }
+
+    /// How long its speed holds and nothing is done.
+    fn step(&self) -> Duration {
+        let until = |at: Duration| at.checked_sub(self.now).filter(|d| !d.is_zero());
+        if self.frozen(self.now) {
+            return self.frozen_until - self.now;
+        }
+        let soonest = self.running.iter().map(|r| r.1).fold(f64::INFINITY, f64::min) / self.speed();
+        // Rounded up, so that what is due is done then.
+        let mut step = match soonest.is_finite() {
+            true => Duration::from_secs_f64(soonest.max(0.0)) + Duration::from_nanos(1),
+            false => Duration::MAX,
+        };
+        step = until(self.slow.1).map_or(step, |d| step.min(d));
+        if self.warmth() < 1.0 {
+            step = step.min(STEP);
+        }
+        step.max(Duration::from_nanos(1))
+    }
+
+    fn begin(&mut self, out: &mut Vec<Progress>) {
+        if self.frozen(self.now) {
+            return;
+        }
+        while self.running.len() < self.capacity.cores {
+            let Some(next) = self.waiting.pop_front() else { return };
+            out.push(Progress::Begun(next.0));
+            self.running.push(next);
+        }
+    }
+
+    fn count_towards_fall(&mut self, work: f64) {
+        if self.warmth() >= 1.0 {
+            return self.recent.clear();
+        }
+        let window = self.capacity.fall_time;
+        self.recent.push_back((self.now, work));
+        while self.recent.front().is_some_and(|r| r.0 + window < self.now) {
+            self.recent.pop_front();
+        }
+        let given: f64 = self.recent.iter().map(|r| r.1).sum();
+        let able = self.warmth() * self.capacity.cores as f64 * window.as_secs_f64();
+        self.fallen |= given > self.capacity.fall_multiple * able;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const MS: Duration = Duration::from_millis(1);
+
+    fn capacity(cores: usize, queue: usize) -> Capacity {
+        Capacity {
+            cores,
+            queue,
+            cold_from: 0.25,
+            warm_up: 1000 * MS,
+            fall_multiple: 3.0,
+            fall_time: 200 * MS,
+        }
+    }
+
+    #[test]
+    fn works_on_so_many_at_a_time_and_turns_the_rest_away() {
+        let mut model = Model::new(capacity(2, 1), Duration::ZERO, false);
+        let mut out = Vec::new();
+        let taken: Vec<_> = (0..4).map(|j| model.offer(Duration::ZERO, j, 0.010, &mut out)).collect();
+        use Admission::*;
+        assert_eq!(taken, [Taken, Taken, Taken, TurnedAway]);
+        assert_eq!(out, [Progress::Begun(0), Progress::Begun(1)]);
+        out.clear();
+        model.advance(11 * MS, &mut out);
+        assert_eq!(out, [Progress::Done(0), Progress::Done(1), Progress::Begun(2)]);
+        out.clear();
+        model.advance(21 * MS, &mut out);
+        assert_eq!(out, [Progress::Done(2)]);
+        assert_eq!(model.next(), None);
+    }
+
+    #[test]
+    fn a_freeze_begins_and_ends_nothing() {
+        let mut model = Model::new(capacity(1, 4), Duration::ZERO, false);
+        let mut out = Vec::new();
+        model.offer(Duration::ZERO, 1, 0.010, &mut out);
+        model.freeze(5 * MS, 100 * MS, &mut out);
+        out.clear();
+        model.offer(6 * MS, 2, 0.010, &mut out);
+        model.advance(104 * MS, &mut out);
+        assert!(out.is_empty(), "{out:?}");
+        assert_eq!(model.next(), Some(105 * MS));
+        model.advance(111 * MS, &mut out);
+        assert_eq!(out, [Progress::Done(1), Progress::Begun(2)]);
+    }
+
+    #[test]
+    fn a_cold_server_is_slow_at_first() {
+        let time = |cold| {
+            let mut model = Model::new(capacity(1, 4), Duration::ZERO, cold);
+            let mut out = Vec::new();
+            model.offer(Duration::ZERO, 1, 0.020, &mut out);
+            let mut now = Duration::ZERO;
+            while !out.contains(&Progress::Done(1)) {
+                now += MS;
+                model.advance(now, &mut out);
+            }
+            now.as_secs_f64()
+        };
+        // At a quarter of its speed 20 ms would take 80; it gains three quarters a second meanwhile.
+        assert!((0.070..0.080).contains(&time(true)), "{}", time(true));
+        assert!((0.020..0.022).contains(&time(false)));
+    }
+
+    #[test]
+    fn a_cold_server_is_pushed_over_by_too_much_and_only_then() {
+        let mut out = Vec::new();
+        let mut offer = |model: &mut Model, times| {
+            (0..times).for_each(|job| {
+                model.offer(Duration::ZERO, job, 0.010, &mut out);
+            });
+            model.fallen()
+        };
+        // 3 x 0.25 x 200 ms = 150 ms of work within 200 ms.
+        let mut model = Model::new(capacity(1, 100), Duration::ZERO, true);
+        assert!(!offer(&mut model, 14));
+        assert!(offer(&mut model, 2));
+        let mut warm = Model::new(capacity(1, 100), Duration::ZERO, false);
+        assert!(!offer(&mut warm, 50));
+        assert_eq!(model.offer(2000 * MS, 50, 0.010, &mut out), Admission::TurnedAway);
+    }
+
+    proptest! {
+        /// Whatever comes, each request that is taken is begun once and done once, never more run than there are cores,
+        /// and no more is done than time and cores allow.
+        #[test]
+        fn all_that_is_taken_is_done_once(
+            cores in 1usize..4,
+            cold: bool,
+            events in prop::collection::vec((0u64..20, 0u8..6, 1u64..30), 1..80),
+        ) {
+            let mut model = Model::new(capacity(cores, 8), Duration::ZERO, cold);
+            let (mut now, mut out, mut taken, mut work) = (Duration::ZERO, Vec::new(), Vec::new(), 0.0);
+            for (job, (wait, kind, size)) in events.into_iter().enumerate() {
+                now += wait as u32 * MS;
+                match kind {
+                    0 => model.freeze(now, size as u32 * MS, &mut out),
+                    1 => model.slow(now, 0.5, size as u32 * MS, &mut out),
+                    _ => {
+                        if model.offer(now, job as u64, size as f64 / 1e3, &mut out) == Admission::Taken {
+                            taken.push(job as u64);
+                            work += size as f64 / 1e3;
+                        }
+                    }
+                }
+                prop_assert!(model.running.len() <= cores);
+            }
+            let mut looks = 0;
+            while let Some(next) = model.next() {
+                model.advance(next, &mut out);
+                looks += 1;
+                prop_assert!(looks < 100_000, "it never ends");
+            }
+            for job in &taken {
+                let at = |p| out.iter().position(|o| *o == p);
+                prop_assert_eq!(out.iter().filter(|o| **o == Progress::Begun(*job)).count(), 1);
+                prop_assert_eq!(out.iter().filter(|o| **o == Progress::Done(*job)).count(), 1);
+                prop_assert!(at(Progress::Begun(*job)) < at(Progress::Done(*job)));
+            }
+            prop_assert!(model.now.as_secs_f64() * cores as f64 >= work - 1e-6);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/script.rs
@@ -0,0 +1,317 @@
+//! What goes wrong and when, as a text:
+//!
+//! ```text
+//! # time  target   fault
+//! seed 7
+//! 8s      s2       freeze 1500ms
+//! 15s     s0-s3    deploy drain 2s every 4s
+//! 30s     any      slow 0.5 for 10s
+//! 40s     s5       die
+//! 45s     registry silent 3s
+//! 50s     s5       start
+//! ```
+//!
+//! One fault a line; `#` begins a comment. Times are whole numbers with `ms` or `s`, counted from the start. A target is
+//! one server (`s2`), a run of them (`s0-s3`, both included), `all`, `any` (one server that the seed chooses), a node
+//! (`n0`) or the `registry`.
+
+use std::fmt;
+use std::time::Duration;
+
+/// A whole script, in the order of time.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Script {
+    /// For all that is random.
+    pub seed: u64,
+    /// What happens.
+    pub entries: Vec<Entry>,
+}
+
+/// One line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// When, from the start.
+    pub at: Duration,
+    /// To whom, with what.
+    pub deed: Deed,
+}
+
+/// A fault and those that it befalls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Deed {
+    /// To servers.
+    Servers(Servers, Fault),
+    /// To a node.
+    Node(usize, NodeFault),
+    /// The registry neither speaks nor takes calls for so long.
+    RegistrySilent(Duration),
+}
+
+/// Some of the servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Servers {
+    /// From the first to the last, both included.
+    Range(usize, usize),
+    /// Each of them.
+    All,
+    /// One, by chance.
+    Any,
+}
+
+/// What may befall a server. Parts of a factor are thousandths, so that a script prints as it was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It neither works nor speaks for so long; its connections stay.
+    Freeze(Duration),
+    /// It works at so many thousandths of its speed for so long.
+    Slow(u32, Duration),
+    /// The process dies: its connections are reset, new ones refused. The registry notices some time later.
+    Die,
+    /// A process that died starts again, cold.
+    Start,
+    /// Each in turn, with so long between the beginnings: told as draining, ended after the drain, started cold.
+    Deploy {
+        /// From the word to the end.
+        drain: Duration,
+        /// From one server's word to the next one's.
+        every: Duration,
+    },
+}
+
+/// What may befall a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NodeFault {
+    /// SIGTERM, and a new process at the same address once it has ended.
+    Restart,
+    /// SIGKILL, and a new process at the same address.
+    Kill,
+}
+
+/// Why a script can't be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("line {line}: {problem}")]
+pub struct ScriptError {
+    /// Counted from 1.
+    pub line: usize,
+    /// What is wrong, and what is wanted.
+    pub problem: String,
+}
+
+impl Script {
+    /// Reads a script for so many servers and nodes.
+    pub fn parse(text: &str, servers: usize, nodes: usize) -> Result<Self, ScriptError> {
+        let mut script = Script::default();
+        for (number, line) in text.lines().enumerate() {
+            let words: Vec<&str> = line.split('#').next().unwrap_or_default().split_whitespace().collect();
+            let error = |problem| ScriptError { line: number + 1, problem };
+            match words[..] {
+                [] => {}
+                ["seed", seed] => {
+                    script.seed = seed.parse().map_err(|_| error(format!("{seed:?} is no whole number")))?;
+                }
+                [at, target, ref fault @ ..] => {
+                    let at = duration(at).map_err(error)?;
+                    let deed = deed(target, fault, servers, nodes).map_err(error)?;
+                    script.entries.push(Entry { at, deed });
+                }
+                _ => return Err(error("wanted: a time, a target and a fault".into())),
+            }
+        }
+        script.entries.sort_by_key(|e| e.at);
+        Ok(script)
+    }
+}
+
+fn deed(target: &str, fault: &[&str], servers: usize, nodes: usize) -> Result<Deed, String> {
+    if target == "registry" {
+        return match fault {
+            ["silent", length] => Ok(Deed::RegistrySilent(duration(length)?)),
+            _ => Err(format!("{:?} befalls no registry: wanted `silent TIME`", fault.join(" "))),
+        };
+    }
+    let number = |text: &str, most: usize| match text.parse::<usize>() {
+        Ok(n) if n < most => Ok(n),
+        Ok(n) => Err(format!("{target}: there are {most}, and {n} is not among 0 to {}", most - 1)),
+        Err(_) => Err(format!("{target:?} is no target: wanted sN, sN-sM, all, any, nN or registry")),
+    };
+    if let Some(n) = target.strip_prefix('n') {
+        let node = number(n, nodes)?;
+        return match fault {
+            ["restart"] => Ok(Deed::Node(node, NodeFault::Restart)),
+            ["kill"] => Ok(Deed::Node(node, NodeFault::Kill)),
+            _ => Err(format!("{:?} befalls no node: wanted `restart` or `kill`", fault.join(" "))),
+        };
+    }
+    let who = match (target, target.split_once('-')) {
+        ("all", _) => Servers::All,
+        ("any", _) => Servers::Any,
+        (_, Some((first, last))) => {
+            let (first, last) = (
+                number(first.strip_prefix('s').unwrap_or("?"), servers)?,
+                number(last.strip_prefix('s').unwrap_or("?"), servers)?,
+            );
+            if first > last {
+                return Err(format!("{target} runs backwards"));
+            }
+            Servers::Range(first, last)
+        }
+        (one, None) => {
+            let n = number(one.strip_prefix('s').unwrap_or("?"), servers)?;
+            Servers::Range(n, n)
+        }
+    };
+    let what = match fault {
+        ["freeze", length] => Fault::Freeze(duration(length)?),
+        ["slow", factor, "for", length] => {
+            let thousandths = factor.parse::<f64>().map(|f| (f * 1e3).round());
+            match thousandths {
+                Ok(t) if (1.0..=1e6).contains(&t) => Fault::Slow(t as u32, duration(length)?),
+                _ => return Err(format!("{factor:?} is no factor from 0.001 to 1000")),
+            }
+        }
+        ["die"] => Fault::Die,
+        ["start"] => Fault::Start,
+        ["deploy", "drain", drain, "every", every] => {
+            Fault::Deploy { drain: duration(drain)?, every: duration(every)? }
+        }
+        _ => {
+            let wanted =
+                "`freeze TIME`, `slow FACTOR for TIME`, `die`, `start` or `deploy drain TIME every TIME`";
+            return Err(format!("{:?} befalls no server: wanted {wanted}", fault.join(" ")));
+        }
+    };
+    Ok(Deed::Servers(who, what))
+}
+
+fn duration(text: &str) -> Result<Duration, String> {
+    let split = text.find(|c: char| !c.is_ascii_digit()).unwrap_or(text.len());
+    let wanted = || format!("{text:?} is no time: wanted a whole number with `ms` or `s`");
+    let number: u32 = text[..split].parse().map_err(|_| wanted())?;
+    match &text[split..] {
+        "ms" => Ok(Duration::from_millis(number.into())),
+        "s" => Ok(Duration::from_secs(number.into())),
+        _ => Err(wanted()),
+    }
+}
+
+/// A time as scripts write it.
+struct Written(Duration);
+
+impl fmt::Display for Written {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self.0.subsec_millis() {
+            0 => write!(f, "{}s", self.0.as_secs()),
+            _ => write!(f, "{}ms", self.0.as_millis()),
+        }
+    }
+}
+
+impl fmt::Display for Script {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        writeln!(f, "seed {}", self.seed)?;
+        self.entries.iter().try_for_each(|e| writeln!(f, "{} {}", Written(e.at), e.deed))
+    }
+}
+
+impl fmt::Display for Deed {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Deed::Servers(Servers::All, fault) => write!(f, "all {fault}"),
+            Deed::Servers(Servers::Any, fault) => write!(f, "any {fault}"),
+            Deed::Servers(Servers::Range(a, b), fault) if a == b => write!(f, "s{a} {fault}"),
+            Deed::Servers(Servers::Range(a, b), fault) => write!(f, "s{a}-s{b} {fault}"),
+            Deed::Node(n, NodeFault::Restart) => write!(f, "n{n} restart"),
+            Deed::Node(n, NodeFault::Kill) => write!(f, "n{n} kill"),
+            Deed::RegistrySilent(length) => write!(f, "registry silent {}", Written(*length)),
+        }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Fault::Freeze(length) => write!(f, "freeze {}", Written(*length)),
+            Fault::Slow(part, length) => {
+                write!(f, "slow {} for {}", f64::from(*part) / 1e3, Written(*length))
+            }
+            Fault::Die => f.write_str("die"),
+            Fault::Start => f.write_str("start"),
+            Fault::Deploy { drain, every } => {
+                write!(f, "deploy drain {} every {}", Written(*drain), Written(*every))
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn what_is_wrong_is_said_with_its_line() {
+        for (text, said) in [
+            ("seed x", "line 1: \"x\" is no whole number"),
+            ("# fine\n8s", "line 2: wanted: a time, a target and a fault"),
+            ("8 s1 die", "line 1: \"8\" is no time"),
+            ("8h s1 die", "line 1: \"8h\" is no time"),
+            ("99999999999s s1 die", "is no time"),
+            ("8s s9 die", "there are 4, and 9 is not among 0 to 3"),
+            ("8s s2-s1 die", "runs backwards"),
+            ("8s s1-2 die", "is no target"),
+            ("8s é die", "is no target"),
+            ("8s s1 vanish", "\"vanish\" befalls no server"),
+            ("8s n0 die", "\"die\" befalls no node"),
+            ("8s n1 kill", "there are 1"),
+            ("8s registry die", "befalls no registry"),
+            ("8s s1 slow 0 for 3s", "\"0\" is no factor"),
+            ("8s s1 slow NaN for 3s", "\"NaN\" is no factor"),
+        ] {
+            let error = Script::parse(text, 4, 1).expect_err(text).to_string();
+            assert!(error.contains(said), "{text}: {error}");
+        }
+    }
+
+    fn any_duration() -> impl Strategy<Value = Duration> {
+        (0u64..100_000).prop_map(Duration::from_millis)
+    }
+
+    fn any_deed() -> impl Strategy<Value = Deed> {
+        let servers = prop_oneof![
+            Just(Servers::All),
+            Just(Servers::Any),
+            (0usize..4, 0usize..4).prop_map(|(a, b)| Servers::Range(a.min(b), a.max(b)))
+        ];
+        let fault = prop_oneof![
+            any_duration().prop_map(Fault::Freeze),
+            (1u32..1_000_000, any_duration()).prop_map(|(p, d)| Fault::Slow(p, d)),
+            Just(Fault::Die),
+            Just(Fault::Start),
+            (any_duration(), any_duration()).prop_map(|(drain, every)| Fault::Deploy { drain, every }),
+        ];
+        prop_oneof![
+            (servers, fault).prop_map(|(s, f)| Deed::Servers(s, f)),
+            (0usize..2, any::<bool>())
+                .prop_map(|(n, k)| Deed::Node(n, if k { NodeFault::Kill } else { NodeFault::Restart })),
+            any_duration().prop_map(Deed::RegistrySilent),
+        ]
+    }
+
+    proptest! {
+        #[test]
+        fn a_script_is_read_as_it_is_written(
+            seed: u64,
+            entries in prop::collection::vec((any_duration(), any_deed()), 0..20),
+        ) {
+            let mut entries: Vec<_> = entries.into_iter().map(|(at, deed)| Entry { at, deed }).collect();
+            entries.sort_by_key(|e| e.at);
+            let script = Script { seed, entries };
+            prop_assert_eq!(Script::parse(&script.to_string(), 4, 2), Ok(script));
+        }
+
+        #[test]
+        fn no_text_is_too_odd(text: String) {
+            let _ = Script::parse(&text, 4, 1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/scripted/node.rs
@@ -0,0 +1,153 @@
+//! A node as a process of its own.
+
+use super::{member, settings, within, Message, Peer, Watch, Wire};
+use crate::process::{self, ConfigFile};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::process::ExitStatus;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, ChildStderr};
+
+/// What nodes are told that they may use: it holds 128 clients with large bodies.
+pub const MEMORY_MB: u64 = 64;
+
+/// A node's process; dropping it kills it.
+pub struct Node {
+    child: Child,
+    log: Option<BufReader<ChildStderr>>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    config: Value,
+    file: ConfigFile,
+}
+
+/// Starts a process with a configuration's text. The file has to outlive its start.
+pub fn start(config: &str) -> (Child, ConfigFile) {
+    start_with(config, &[])
+}
+
+fn start_with(config: &str, variables: &[(&str, &str)]) -> (Child, ConfigFile) {
+    let config = ConfigFile::new(config).expect("a configuration file");
+    let binary = process::node_binary().expect("this program's path");
+    (process::start(&binary, &config, variables).expect("a process"), config)
+}
+
+impl Node {
+    /// Starts a node with these settings and limits; the list it knows is empty.
+    pub async fn with(discovery: &Peer, settings: Value, sockets: u32) -> Self {
+        Node::at(([127, 0, 0, 1], 0).into(), discovery, settings, sockets).await
+    }
+
+    /// The same at a given address.
+    pub async fn at(address: SocketAddr, discovery: &Peer, settings: Value, sockets: u32) -> Self {
+        let config = json!({
+            "name": "n", "listen": address.to_string(), "discovery": discovery.address().to_string(), "seed": "1f",
+            "limits": {"sockets": sockets, "memory_mb": MEMORY_MB}, "settings": settings,
+        });
+        Node::told(config, &[]).await
+    }
+
+    /// The same with a whole configuration and further variables.
+    pub async fn told(config: Value, variables: &[(&str, &str)]) -> Self {
+        let (mut child, file) = start_with(&config.to_string(), variables);
+        let log = child.stderr.take().map(BufReader::new);
+        let mut node = Node { child, log, address: ([127, 0, 0, 1], 0).into(), config, file };
+        let line = node.logged("listening on ").await;
+        node.address = line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+        node
+    }
+
+    /// A node with the usual settings that has taken a list of these servers.
+    pub async fn serving(servers: &[(&str, &Peer)]) -> (Self, Peer, Watch) {
+        let discovery = Peer::new().await;
+        let node = Node::with(&discovery, settings(), 1024).await;
+        let (mut watch, _) = discovery.watch().await;
+        let members: Vec<Value> = servers.iter().map(|s| member(s.0, s.1.address(), "active")).collect();
+        watch.list(1, true, &members).await;
+        node.ready().await;
+        (node, discovery, watch)
+    }
+
+    /// Waits until the node says that it is ready.
+    pub async fn ready(&self) {
+        while self.get("/health/ready").await.status() != 200 {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
+    /// Waits until the node has taken the list of this revision.
+    pub async fn holds(&self, revision: u64) {
+        let told = format!("list {revision}\n");
+        while self.get("/health/live").await.body != told.as_bytes() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
+    /// Replaces its configuration file by one in which a value differs, and tells it so.
+    pub async fn reconfigure(&mut self, key: &str, value: Value) {
+        self.config[key] = value;
+        let text = self.config.to_string();
+        self.replace_config(&text).await;
+    }
+
+    /// Replaces its configuration file by this text, and tells it so.
+    pub async fn replace_config(&self, text: &str) {
+        self.file.replace(text).expect("a configuration file");
+        self.signal("HUP").await;
+    }
+
+    /// A client connected to it.
+    pub async fn client(&self) -> Wire {
+        Wire::connect(self.address).await
+    }
+
+    /// The answer to a GET on a connection of its own.
+    pub async fn get(&self, path: &str) -> Message {
+        let mut client = self.client().await;
+        client.write(&format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n")).await;
+        client.read().await.expect("an answer")
+    }
+
+    /// The first line of its log, from here on, that holds this.
+    pub async fn logged(&mut self, text: &str) -> String {
+        let log = self.log.as_mut().expect("its log");
+        loop {
+            let mut line = String::new();
+            let read = within("a line of the log", log.read_line(&mut line)).await.expect("its log");
+            assert!(read > 0, "the log ended before {text:?}");
+            if line.contains(text) {
+                return line.trim_end().to_owned();
+            }
+        }
+    }
+
+    /// Leaves nobody to read its log.
+    pub fn close_log(&mut self) {
+        self.log = None;
+    }
+
+    /// Its open descriptors.
+    pub fn descriptors(&self) -> usize {
+        let pid = self.child.id().expect("it runs");
+        std::fs::read_dir(format!("/proc/{pid}/fd")).expect("its descriptors").count()
+    }
+
+    /// The most memory that it has held so far, in KiB.
+    pub fn memory_peak(&self) -> u64 {
+        let pid = self.child.id().expect("it runs");
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("its status");
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("its peak");
+        peak.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
+    /// Sends it a signal by name, such as `HUP`.
+    pub async fn signal(&self, signal: &str) {
+        within("kill", process::signal(&self.child, signal)).await.expect("it runs");
+    }
+
+    /// Waits for its end.
+    pub async fn exited(&mut self) -> ExitStatus {
+        within("the node's end", self.child.wait()).await.expect("its status")
+    }
+}
--- a/node/tests/common/mod.rs
+++ b/crates/standin/src/scripted/wire.rs
@@ -1,19 +1,14 @@
-//! A node as a process of its own, and both of its neighbours as plain sockets that a test scripts byte by byte.
-
-#![allow(dead_code)] // Each test file uses its part.
+//! Plain sockets that a test scripts byte by byte.
 
+use crate::process::nothing_starts;
 use serde_json::{json, Value};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::ops::{Deref, DerefMut};
-use std::path::PathBuf;
-use std::process::{ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::process::{Child, ChildStderr, Command};
 
 /// Ends a test that waits for something that never comes; nothing is measured by it.
 pub async fn within<T>(what: &str, future: impl Future<Output = T>) -> T {
@@ -29,28 +24,22 @@
     /// Request or status line.
     pub start: String,
     headers: Vec<(String, String)>,
+    /// Its body.
     pub body: Vec<u8>,
 }
 
 impl Message {
+    /// The first header of this name, in any case.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|h| h.0.eq_ignore_ascii_case(name)).map(|h| h.1.as_str())
     }
 
+    /// An answer's status.
     pub fn status(&self) -> u16 {
         self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status line")
     }
 }
 
-/// Held while a process starts and while a socket is closed. Between fork and exec a child holds copies of all sockets
-/// of the tests beside it, so that one closed meanwhile stays open for its peer: a closing would come late, and a
-/// connection that is to be refused would be taken.
-static STARTING: Mutex<()> = Mutex::new(());
-
-fn nothing_starts() -> MutexGuard<'static, ()> {
-    STARTING.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
 /// A socket, or what holds one, that is closed only while no process starts.
 struct Closing<T>(Option<T>);
 
@@ -82,6 +71,7 @@
         Wire(Closing(Some(BufReader::new(stream))))
     }
 
+    /// Connects.
     pub async fn connect(address: SocketAddr) -> Self {
         Wire::new(within("a connection", TcpStream::connect(address)).await.expect("a connection"))
     }
@@ -92,6 +82,7 @@
         self.closed().await;
     }
 
+    /// Writes text as it is.
     pub async fn write(&mut self, text: &str) {
         self.0.get_mut().write_all(text.as_bytes()).await.expect("writing");
     }
@@ -101,6 +92,13 @@
         within("a message", self.read_message()).await
     }
 
+    /// The next line without its end; None if the connection ends first.
+    pub async fn line(&mut self) -> Option<String> {
+        let mut line = String::new();
+        let read = within("a line", self.0.read_line(&mut line)).await;
+        matches!(read, Ok(n) if n > 0).then(|| line.trim_end().to_owned())
+    }
+
     async fn read_message(&mut self) -> Option<Message> {
         let mut lines = Vec::new();
         loop {
@@ -153,11 +151,13 @@
         self.read().await
     }
 
+    /// Sends a request of a class under an id of its own, with this wait (`20000m`).
     pub async fn send(&mut self, class: &str, wait: &str) {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         self.send_as(&format!("r{}", NEXT.fetch_add(1, Ordering::Relaxed)), class, wait).await;
     }
 
+    /// The same under a given id.
     pub async fn send_as(&mut self, id: &str, class: &str, wait: &str) {
         let method = if class == "safe" { "GET" } else { "POST" };
         let key = if class == "keyed" { "Idempotency-Key: k\r\n" } else { "" };
@@ -182,14 +182,17 @@
 pub struct Peer(Closing<TcpListener>);
 
 impl Peer {
+    /// Listens at an address of its own.
     pub async fn new() -> Self {
         Peer(Closing(Some(TcpListener::bind(own_address()).await.expect("a port"))))
     }
 
+    /// Where it listens.
     pub fn address(&self) -> SocketAddr {
         self.0.local_addr().expect("an address")
     }
 
+    /// The next connection.
     pub async fn accept(&self) -> Wire {
         let accepted = within("a connection to be accepted", self.0.accept()).await;
         Wire::new(accepted.expect("a connection").0)
@@ -219,6 +222,7 @@
 pub struct Watch(pub Wire);
 
 impl Watch {
+    /// Writes one line as a chunk.
     pub async fn line(&mut self, line: &str) {
         self.0.write(&format!("{:x}\r\n{line}\n\r\n", line.len() + 1)).await;
     }
@@ -253,154 +257,3 @@
                   "overload_for_ns": 1_000_000_000u64, "warm_up_ns": 1_000_000_000u64}
     })
 }
-
-/// What nodes are told that they may use: it holds 128 clients with large bodies.
-pub const MEMORY_MB: u64 = 64;
-
-/// A node's process.
-pub struct Node {
-    child: Child,
-    log: Option<BufReader<ChildStderr>>,
-    pub address: SocketAddr,
-    /// Its configuration and the file that holds it.
-    config: (Value, PathBuf),
-}
-
-/// Starts a process with a configuration's text.
-pub fn start(config: &str) -> Child {
-    start_with(config, &[]).0
-}
-
-/// The same with further variables; says which file holds the configuration.
-fn start_with(config: &str, variables: &[(&str, &str)]) -> (Child, PathBuf) {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
-    let path = path.join(format!("{}-{number}.json", std::process::id()));
-    std::fs::write(&path, config).expect("a configuration file");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_birchswitch"));
-    command.env_clear().envs(variables.iter().copied()).env("GW_CONFIG", &path);
-    command.stderr(Stdio::piped()).kill_on_drop(true);
-    let _guard = nothing_starts();
-    (command.spawn().expect("a process"), path)
-}
-
-impl Node {
-    /// Starts a node with these settings and limits; the list it knows is empty.
-    pub async fn with(discovery: &Peer, settings: Value, sockets: u32) -> Self {
-        Node::at(([127, 0, 0, 1], 0).into(), discovery, settings, sockets).await
-    }
-
-    /// The same at a given address.
-    pub async fn at(address: SocketAddr, discovery: &Peer, settings: Value, sockets: u32) -> Self {
-        let config = json!({
-            "name": "n", "listen": address.to_string(), "discovery": discovery.address().to_string(), "seed": "1f",
-            "limits": {"sockets": sockets, "memory_mb": MEMORY_MB}, "settings": settings,
-        });
-        Node::told(config, &[]).await
-    }
-
-    /// The same with a whole configuration and further variables.
-    pub async fn told(config: Value, variables: &[(&str, &str)]) -> Self {
-        let (mut child, path) = start_with(&config.to_string(), variables);
-        let log = child.stderr.take().map(BufReader::new);
-        let mut node = Node { child, log, address: ([127, 0, 0, 1], 0).into(), config: (config, path) };
-        let line = node.logged("listening on ").await;
-        node.address = line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
-        node
-    }
-
-    /// A node with the usual settings that has taken a list of these servers.
-    pub async fn serving(servers: &[(&str, &Peer)]) -> (Self, Peer, Watch) {
-        let discovery = Peer::new().await;
-        let node = Node::with(&discovery, settings(), 1024).await;
-        let (mut watch, _) = discovery.watch().await;
-        let members: Vec<Value> = servers.iter().map(|s| member(s.0, s.1.address(), "active")).collect();
-        watch.list(1, true, &members).await;
-        node.ready().await;
-        (node, discovery, watch)
-    }
-
-    /// Waits until the node says that it is ready.
-    pub async fn ready(&self) {
-        while self.get("/health/ready").await.status() != 200 {
-            tokio::time::sleep(Duration::from_millis(2)).await;
-        }
-    }
-
-    /// Waits until the node has taken the list of this revision.
-    pub async fn holds(&self, revision: u64) {
-        let told = format!("list {revision}\n");
-        while self.get("/health/live").await.body != told.as_bytes() {
-            tokio::time::sleep(Duration::from_millis(2)).await;
-        }
-    }
-
-    /// Replaces its configuration file by one in which a value differs, and tells it so.
-    pub async fn reconfigure(&mut self, key: &str, value: Value) {
-        self.config.0[key] = value;
-        let text = self.config.0.to_string();
-        self.replace_config(&text).await;
-    }
-
-    /// Replaces its configuration file by this text, and tells it so.
-    pub async fn replace_config(&self, text: &str) {
-        std::fs::write(&self.config.1, text).expect("a configuration file");
-        self.signal("HUP").await;
-    }
-
-    pub async fn client(&self) -> Wire {
-        Wire::connect(self.address).await
-    }
-
-    pub async fn get(&self, path: &str) -> Message {
-        let mut client = self.client().await;
-        client.write(&format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n")).await;
-        client.read().await.expect("an answer")
-    }
-
-    /// The first line of its log, from here on, that holds this.
-    pub async fn logged(&mut self, text: &str) -> String {
-        let log = self.log.as_mut().expect("its log");
-        loop {
-            let mut line = String::new();
-            let read = within("a line of the log", log.read_line(&mut line)).await.expect("its log");
-            assert!(read > 0, "the log ended before {text:?}");
-            if line.contains(text) {
-                return line.trim_end().to_owned();
-            }
-        }
-    }
-
-    /// Leaves nobody to read its log.
-    pub fn close_log(&mut self) {
-        self.log = None;
-    }
-
-    /// Its open descriptors.
-    pub fn descriptors(&self) -> usize {
-        let pid = self.child.id().expect("it runs");
-        std::fs::read_dir(format!("/proc/{pid}/fd")).expect("its descriptors").count()
-    }
-
-    /// The most memory that it has held so far, in KiB.
-    pub fn memory_peak(&self) -> u64 {
-        let pid = self.child.id().expect("it runs");
-        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("its status");
-        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("its peak");
-        peak.trim().trim_end_matches(" kB").parse().expect("a number")
-    }
-
-    pub async fn signal(&self, signal: &str) {
-        let pid = self.child.id().expect("it runs").to_string();
-        let spawned = {
-            let _guard = nothing_starts();
-            Command::new("kill").args(["-s", signal, &pid]).spawn()
-        };
-        assert!(within("kill", spawned.expect("kill").wait()).await.expect("its status").success());
-    }
-
-    pub async fn exited(&mut self) -> ExitStatus {
-        within("the node's end", self.child.wait()).await.expect("its status")
-    }
-}
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,402 @@
+//! A server on a socket: HTTP/1.1 in the platform's terms round a [`Model`].
+
+use crate::book::Book;
+use crate::chance::Chance;
+use crate::model::{Admission, Capacity, Job, Model, Progress};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{oneshot, Notify};
+use tokio::task::{spawn_local, JoinHandle, JoinSet};
+use tokio::time::{sleep_until, Instant};
+
+/// A repeat that meets its first in work looks again after this.
+const LOOK_AGAIN: Duration = Duration::from_millis(5);
+/// Largest body that is read.
+const MOST_BODY: usize = 64 << 10;
+
+/// What all servers of a fleet share: the books, and per cell the memory of keys.
+pub struct Shared {
+    /// Zero of all times in the books.
+    pub origin: Instant,
+    /// The books.
+    pub book: RefCell<Book>,
+    /// For how long a cell remembers a key.
+    pub window: Duration,
+    keys: RefCell<HashMap<(u16, String), Claim>>,
+}
+
+/// A key's first request in its cell.
+#[derive(Clone, Copy)]
+struct Claim {
+    at: Instant,
+    server: usize,
+    job: Job,
+    state: Work,
+}
+
+/// How far it has come.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Work {
+    Waiting,
+    Begun,
+    Over,
+}
+
+impl Shared {
+    /// With empty memories.
+    pub fn new(book: Book, window: Duration) -> Rc<Self> {
+        Rc::new(Shared { origin: Instant::now(), book: RefCell::new(book), window, keys: RefCell::default() })
+    }
+
+    fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+}
+
+/// See the module's own words. It starts ended.
+pub struct Server {
+    index: usize,
+    cell: u16,
+    address: Cell<SocketAddr>,
+    capacity: Capacity,
+    shared: Rc<Shared>,
+    state: RefCell<State>,
+    changed: Notify,
+    /// Its connections are reset when they go, as a dying process's are.
+    resetting: Rc<Cell<bool>>,
+}
+
+struct State {
+    model: Model,
+    chance: Chance,
+    next_job: Job,
+    open: HashMap<Job, Open>,
+    progress: Vec<Progress>,
+    /// The tasks of a process that runs.
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// A request in hand.
+struct Open {
+    class: usize,
+    order: u64,
+    work: f64,
+    key: Option<(u16, String)>,
+    done: oneshot::Sender<()>,
+}
+
+impl Server {
+    /// The one of this number, at an address of its own whose port the system chooses.
+    pub fn new(
+        index: usize,
+        cell: u16,
+        address: SocketAddr,
+        capacity: Capacity,
+        seed: u64,
+        shared: Rc<Shared>,
+    ) -> Rc<Self> {
+        let model = Model::new(capacity.clone(), Duration::ZERO, false);
+        let state = State {
+            model,
+            chance: Chance::new(seed, 1000 + index as u64),
+            next_job: 0,
+            open: HashMap::new(),
+            progress: Vec::new(),
+            tasks: Vec::new(),
+        };
+        Rc::new(Server {
+            index,
+            cell,
+            address: Cell::new(address),
+            capacity,
+            shared,
+            state: RefCell::new(state),
+            changed: Notify::new(),
+            resetting: Rc::default(),
+        })
+    }
+
+    /// Where it listens, once it has started.
+    pub fn address(&self) -> SocketAddr {
+        self.address.get()
+    }
+
+    /// Its cell.
+    pub fn cell(&self) -> u16 {
+        self.cell
+    }
+
+    /// Starts its process, cold or not, at the address that it had before. One that runs is left alone.
+    pub fn start(self: &Rc<Self>, cold: bool) -> io::Result<()> {
+        if !self.state.borrow().tasks.is_empty() {
+            return Ok(());
+        }
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(self.address.get())?;
+        let listener = socket.listen(1024)?;
+        self.address.set(listener.local_addr()?);
+        self.resetting.set(false);
+        let mut state = self.state.borrow_mut();
+        state.model = Model::new(self.capacity.clone(), self.shared.now(), cold);
+        let accepting = spawn_local(self.clone().accept(listener));
+        let working = spawn_local(self.clone().work());
+        state.tasks = vec![accepting, working];
+        self.shared.book.borrow_mut().servers[self.index].starts += 1;
+        Ok(())
+    }
+
+    /// Its process dies: connections are reset, what it had in hand is gone. Over once the system knows of it too.
+    pub async fn die(&self) {
+        self.resetting.set(true);
+        // Those who wait for an answer hear of it by their connections only: their channels stay until these are gone.
+        let (tasks, _open) = {
+            let mut state = self.state.borrow_mut();
+            let open = std::mem::take(&mut state.open);
+            self.forget_waiting(&open);
+            let book = &mut self.shared.book.borrow_mut().servers[self.index];
+            book.most_waiting = book.most_waiting.max(state.model.most_waiting());
+            (std::mem::take(&mut state.tasks), open)
+        };
+        for task in tasks {
+            task.abort();
+            let _ = task.await; // Cancelled: that is what is wanted.
+        }
+    }
+
+    /// A key whose work had not begun may be used again; one whose work had may not.
+    fn forget_waiting(&self, open: &HashMap<Job, Open>) {
+        let mut keys = self.shared.keys.borrow_mut();
+        for (job, open) in open {
+            let Some(key) = &open.key else { continue };
+            let Some(claim) = keys.get_mut(key).filter(|c| (c.server, c.job) == (self.index, *job)) else {
+                continue;
+            };
+            match claim.state {
+                Work::Waiting => {
+                    keys.remove(key);
+                }
+                Work::Begun | Work::Over => claim.state = Work::Over,
+            }
+        }
+    }
+
+    /// Takes nothing new.
+    pub fn drain(&self) {
+        self.state.borrow_mut().model.drain(true);
+    }
+
+    /// Neither works nor speaks for so long.
+    pub fn freeze(&self, length: Duration) {
+        self.with_model(|model, now, out| model.freeze(now, length, out));
+    }
+
+    /// Works at a part of its speed for so long.
+    pub fn slow(&self, factor: f64, length: Duration) {
+        self.with_model(|model, now, out| model.slow(now, factor, length, out));
+    }
+
+    fn with_model<T>(&self, call: impl FnOnce(&mut Model, Duration, &mut Vec<Progress>) -> T) -> T {
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
+        let had_fallen = state.model.fallen();
+        let value = call(&mut state.model, self.shared.now(), &mut state.progress);
+        if state.model.fallen() && !had_fallen {
+            self.shared.book.borrow_mut().servers[self.index].fallen += 1;
+        }
+        self.book_progress(state);
+        self.changed.notify_one();
+        value
+    }
+
+    fn book_progress(&self, state: &mut State) {
+        for progress in state.progress.drain(..) {
+            let (Progress::Begun(job) | Progress::Done(job)) = progress;
+            let claim = |key: &Option<(u16, String)>, reached| {
+                let mut keys = self.shared.keys.borrow_mut();
+                let claim = key.as_ref().and_then(|k| keys.get_mut(k));
+                claim
+                    .filter(|c| (c.server, c.job) == (self.index, job))
+                    .iter_mut()
+                    .for_each(|c| c.state = reached);
+            };
+            match progress {
+                Progress::Begun(_) => {
+                    if let Some(open) = state.open.get(&job) {
+                        claim(&open.key, Work::Begun);
+                        self.shared.book.borrow_mut().run(self.index, open.class, open.order, open.work);
+                    }
+                }
+                Progress::Done(_) => {
+                    if let Some(open) = state.open.remove(&job) {
+                        claim(&open.key, Work::Over);
+                        let _ = open.done.send(()); // Whoever asked may have left.
+                    }
+                }
+            }
+        }
+    }
+
+    /// Moves the model on as time passes.
+    async fn work(self: Rc<Self>) {
+        loop {
+            let next = self.state.borrow().model.next();
+            let at = next.map(|n| self.shared.origin + n);
+            tokio::select! {
+                () = self.changed.notified() => {}
+                () = sleep_until(at.unwrap_or_else(Instant::now)), if at.is_some() => {
+                    let mut guard = self.state.borrow_mut();
+                    let state = &mut *guard;
+                    state.model.advance(self.shared.now(), &mut state.progress);
+                    self.book_progress(state);
+                }
+            }
+        }
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let mut connections = JoinSet::new(); // They go with this task.
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    if let Ok((stream, _)) = accepted {
+                        connections.spawn_local(self.clone().serve(stream));
+                    }
+                }
+                Some(_) = connections.join_next() => {}
+            }
+        }
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        // The mark is the socket's own, so that whichever handle is closed last resets the connection.
+        let Ok(socket) = SockRef::from(&stream).try_clone() else { return };
+        let _reset = Reset { socket, resetting: self.resetting.clone() };
+        let service = service_fn(|request| async { Ok::<_, Infallible>(self.answer(request).await) });
+        let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+    }
+
+    async fn thaw(&self) {
+        loop {
+            let (frozen, until) = {
+                let model = &self.state.borrow().model;
+                (model.frozen(self.shared.now()), model.frozen_until())
+            };
+            if !frozen {
+                return;
+            }
+            sleep_until(self.shared.origin + until).await;
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        self.thaw().await;
+        match request.uri().path() {
+            "/stats" | "/health/live" => {
+                let load = self.with_model(|model, now, out| model.load(now, out));
+                self.shared.book.borrow_mut().servers[self.index].probes += 1;
+                let text = serde_json::json!({
+                    "outstanding": load.held, "backlog": load.waiting, "utilization": load.busy,
+                });
+                plain(StatusCode::OK, text.to_string())
+            }
+            _ => self.order(request).await,
+        }
+    }
+
+    async fn order(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let header =
+            |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
+        let id = header("x-request-id").unwrap_or_default();
+        let order = id.split('-').next().and_then(|o| u64::from_str_radix(o, 16).ok());
+        let class = request.uri().path().trim_start_matches('/').to_owned();
+        let class = self.shared.book.borrow().classes.iter().position(|c| c.name == class);
+        let (Some(order), Some(class)) = (order, class) else {
+            return plain(StatusCode::BAD_REQUEST, "no order that a client placed");
+        };
+        let hint = header("x-cost").and_then(|c| c.parse().ok()).unwrap_or(10_000.0) / 1e6;
+        let key = header("idempotency-key").map(|k| (self.cell, k));
+        if Limited::new(request.into_body(), MOST_BODY).collect().await.is_err() {
+            return plain(StatusCode::BAD_REQUEST, "the body is not whole");
+        }
+        self.thaw().await;
+        if let Some(key) = &key {
+            if let Some(answer) = self.repeat(key).await {
+                return answer;
+            }
+        }
+        let (done, answered) = oneshot::channel();
+        let (job, work) = {
+            let mut state = self.state.borrow_mut();
+            state.next_job += 1;
+            (state.next_job, hint * (0.75 + 0.5 * state.chance.unit()))
+        };
+        let claim = Claim { at: Instant::now(), server: self.index, job, state: Work::Waiting };
+        if let Some(key) = &key {
+            self.shared.keys.borrow_mut().insert(key.clone(), claim);
+        }
+        let open = Open { class, order, work, key: key.clone(), done };
+        self.state.borrow_mut().open.insert(job, open);
+        if self.with_model(|model, now, out| model.offer(now, job, work, out)) == Admission::TurnedAway {
+            self.state.borrow_mut().open.remove(&job);
+            if let Some(key) = &key {
+                self.shared.keys.borrow_mut().remove(key);
+            }
+            self.shared.book.borrow_mut().servers[self.index].turned_away += 1;
+            let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "turned away");
+            answer.headers_mut().insert("x-not-processed", hyper::header::HeaderValue::from_static("1"));
+            return answer;
+        }
+        match answered.await {
+            Ok(()) => plain(StatusCode::OK, format!("{order:x}")),
+            Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, "the server is ending"),
+        }
+    }
+
+    /// The answer to a key that the cell remembers, once its first request is over.
+    async fn repeat(&self, key: &(u16, String)) -> Option<Response<Full<Bytes>>> {
+        loop {
+            let claim = self.shared.keys.borrow().get(key).copied();
+            match claim.filter(|c| c.at.elapsed() < self.shared.window) {
+                None => return None,
+                Some(claim) if claim.state == Work::Over => return Some(plain(StatusCode::OK, "known")),
+                Some(_) => tokio::time::sleep(LOOK_AGAIN).await,
+            }
+        }
+    }
+}
+
+/// Makes the closing of a socket a reset while the flag is up.
+struct Reset {
+    socket: socket2::Socket,
+    resetting: Rc<Cell<bool>>,
+}
+
+impl Drop for Reset {
+    fn drop(&mut self) {
+        if self.resetting.get() {
+            let _ = self.socket.set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
+fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    response
+}
--- a/node/tests/attempts.rs
+++ b/node/tests/attempts.rs
@@ -1,7 +1,6 @@
 //! What goes on to servers, and what their answers are taken for.
 
-mod common;
-use common::*;
+use birchswitch_standin::scripted::*;
 use std::time::Duration;
 
 #[tokio::test]
--- a/node/tests/clients.rs
+++ b/node/tests/clients.rs
@@ -1,7 +1,6 @@
 //! What clients may do to a node, and what it does at its end.
 
-mod common;
-use common::*;
+use birchswitch_standin::scripted::*;
 use serde_json::json;
 
 /// Nonsense is answered as such, and costs nobody else anything.
@@ -321,7 +320,8 @@
     bad["settings"]["zone"] = json!(9);
     cases.push(bad.to_string());
     for case in cases {
-        let output = within("its end", start(&case).wait_with_output()).await.expect("its output");
+        let (process, _directory) = start(&case);
+        let output = within("its end", process.wait_with_output()).await.expect("its output");
         let told = String::from_utf8(output.stderr).expect("text");
         assert!(!output.status.success(), "{case}");
         assert_eq!(told.lines().count(), 1, "{case}: {told}");
--- a/node/tests/lists.rs
+++ b/node/tests/lists.rs
@@ -1,7 +1,6 @@
 //! The list of servers: what the node makes of it, and how it keeps hearing of it.
 
-mod common;
-use common::*;
+use birchswitch_standin::scripted::*;
 use serde_json::json;
 
 /// Whole lists drop what they don't name; changes drop what has left; an address may change under the same id.
--- a/node/tests/reload.rs
+++ b/node/tests/reload.rs
@@ -1,7 +1,6 @@
 //! A configuration that is replaced under a running node.
 
-mod common;
-use common::*;
+use birchswitch_standin::scripted::*;
 use serde_json::json;
 
 const WHOLE: &str = "GET /registry/instances HTTP/1.1";
--- a/node/tests/rude.rs
+++ b/node/tests/rude.rs
@@ -1,7 +1,6 @@
 //! Clients that send what they should not, or nothing, and what that costs others.
 
-mod common;
-use common::*;
+use birchswitch_standin::scripted::*;
 
 const HEAD: &str = "POST /unsafe HTTP/1.1\r\nHost: a\r\nX-Timeout: 60000m\r\nX-Tenant-Id: one\r\n";
 
