--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,7 +1,7 @@
 //! Every decision of the balancer. Its settings, events and actions are in `src/interface.rs`.
 //!
 //! Each node keeps a price per server, moved by a projected dual step on reported load, and draws servers
-//! from the shares that maximise speed-valued concave utility minus price (`docs/design/core.md` has the symbols).
+//! from the shares that maximise speed-valued concave utility minus price (symbols: `docs/design/core.md`).
 //! Prices, shares and speeds are kept relative to the number n of ready servers: price = φ/n, lambda = λ/n,
 //! speed = ζ/n (mean 1) and share = η·n (sum n), so that no constant depends on the size of the fleet.
 
