--- /dev/null
+++ b/crates/engine/src/engine.rs
@@ -0,0 +1,334 @@
+//! The state machine itself.
+
+use crate::ledger::{Attempt, Entry, Listed, Place, Rules};
+use crate::{Answer, AttemptId, Clearance, Command, Decide, Duplicate, Ended, Incoming, ProbeId};
+use finchvale::{
+    Action, Arrival, Event, ListKind, LoadReport, Outcome, Probed, RequestId, ServerEntry, ServerId,
+    ServerState, Settings, Time, TimerId,
+};
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeSet, HashSet, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A choice among probed servers is made within a few milliseconds: what a probe says later serves none.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
+/// A request on which so many decisions came to nothing is given up, whatever decides.
+const MOST_DECISIONS: usize = 64;
+
+/// What is due at some time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    /// An attempt's time is over.
+    Attempt(AttemptId),
+    Probe(ProbeId),
+    /// The last moment for a request's answer.
+    Answer(RequestId),
+    /// A timer of the decisions; counted, since one may be set twice for the same time.
+    Timer(u64, TimerId),
+}
+
+/// See the crate's own words. `R` is a protocol's request, `A` its answer.
+pub struct Engine<D, R, A> {
+    decide: D,
+    rules: Rules,
+    ledger: FxHashMap<RequestId, Entry<R>>,
+    /// The clients' names for what is in the ledger. Clients choose them, hence the hasher with a secret.
+    names: HashSet<Rc<[u8]>>,
+    servers: FxHashMap<ServerId, Listed>,
+    probes: FxHashMap<ProbeId, (ServerId, Time)>,
+    due: BTreeSet<(Time, Due)>,
+    next_request: u64,
+    next_probe: u64,
+    next_timer: u64,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    commands: VecDeque<Command<R, A>>,
+}
+
+impl<D: Decide, R, A> Engine<D, R, A> {
+    /// Starts with no servers and no requests. The decisions are owed a list first, be it empty.
+    pub fn new(decide: D, settings: &Settings) -> Self {
+        Engine {
+            decide,
+            rules: Rules::new(settings),
+            ledger: FxHashMap::default(),
+            names: HashSet::new(),
+            servers: FxHashMap::default(),
+            probes: FxHashMap::default(),
+            due: BTreeSet::new(),
+            next_request: 0,
+            next_probe: 0,
+            next_timer: 0,
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            commands: VecDeque::new(),
+        }
+    }
+
+    /// The next thing to do. All of them are to be taken after each call that tells the engine something.
+    pub fn command(&mut self) -> Option<Command<R, A>> {
+        self.commands.pop_front()
+    }
+
+    /// When [`Engine::wake`] is to be called next.
+    pub fn next_wake(&self) -> Option<Time> {
+        self.due.first().map(|d| d.0)
+    }
+
+    /// Requests in hand: open, or closed with an attempt out.
+    pub fn in_hand(&self) -> usize {
+        self.ledger.len()
+    }
+
+    // ---- what happens ----
+    /// Takes a client's request. Its answer comes as a [`Command::Answer`].
+    pub fn arrive(&mut self, now: Time, incoming: Incoming<R>) -> Result<RequestId, Duplicate> {
+        let Incoming { class, tenant, work, due, last, name, request } = incoming;
+        let name: Rc<[u8]> = name.into();
+        if !self.names.insert(name.clone()) {
+            return Err(Duplicate);
+        }
+        let id = RequestId(self.next_request);
+        self.next_request += 1;
+        let last = last.max(due);
+        let entry = Entry { name, class, due, last, request: Some(Rc::new(request)), attempts: Vec::new() };
+        self.ledger.insert(id, entry);
+        self.due.insert((last, Due::Answer(id)));
+        self.feed(now, Event::Arrival(Arrival { request: id, class, tenant, remaining: due - now, work }));
+        self.settle(id);
+        Ok(id)
+    }
+
+    /// The client left: no answer is owed any more. After the answer this says nothing new.
+    pub fn leave(&mut self, now: Time, request: RequestId) {
+        if self.close(request) {
+            self.feed(now, Event::ClientGone { request });
+            self.settle(request);
+        }
+    }
+
+    /// Asked right before an attempt's first byte: whether it may go out. Whoever is told to stop ends the attempt as
+    /// [`Outcome::NotSent`]; whoever is told to go sends it once.
+    pub fn clear(&mut self, now: Time, attempt: AttemptId) -> Clearance {
+        let number = attempt.number as usize;
+        let Some(entry) = self.ledger.get_mut(&attempt.request) else { return Clearance::Stop };
+        let Some(a) = entry.attempts.get(number).copied() else { return Clearance::Stop };
+        // One that was cleared is not cleared again: it would be sent twice.
+        let fit = a.out && !a.cleared && now < a.until;
+        let server = self.servers.get(&a.server);
+        if !fit || self.rules.objection(now, entry, Some(number), server).is_some() {
+            return Clearance::Stop;
+        }
+        entry.attempts[number].cleared = true;
+        Clearance::Go(a.until - now)
+    }
+
+    /// An attempt ended. Those that were given up meanwhile have ended already.
+    pub fn ended(&mut self, now: Time, attempt: AttemptId, ended: Ended<A>) {
+        let Ended { outcome, report, answer } = ended;
+        if let Some(answer) = answer.filter(|_| self.is_out(attempt)) {
+            // The first answer closes the request; a later one is the copy's and is dropped.
+            if self.close(attempt.request) {
+                let (request, answer) = (attempt.request, Answer::Served(answer));
+                self.commands.push_back(Command::Answer { request, answer });
+            }
+        }
+        if let Some(event) = self.end(now, attempt, outcome, report) {
+            self.feed(now, event);
+            self.settle(attempt.request);
+        }
+    }
+
+    /// A probe ended. Those that were given up meanwhile have ended already.
+    pub fn probed(&mut self, now: Time, probe: ProbeId, outcome: Outcome, report: Option<LoadReport>) {
+        let Some((server, began)) = self.probes.remove(&probe) else { return };
+        self.due.remove(&(began + PROBE_TIMEOUT, Due::Probe(probe)));
+        self.feed(now, Event::Probed(Probed { server, outcome, latency: now - began, report }));
+    }
+
+    /// The list of servers, or changes to it, counts as told from now on.
+    pub fn list(&mut self, now: Time, kind: ListKind, entries: Vec<ServerEntry>) {
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            self.servers.clear();
+        }
+        for entry in &entries {
+            let place = Place { zone: entry.zone, cell: entry.cell };
+            match entry.state {
+                ServerState::Gone => self.servers.remove(&entry.server),
+                state => self.servers.insert(entry.server, Listed { place, state }),
+            };
+        }
+        self.feed(now, Event::List { kind, entries });
+    }
+
+    /// Does what is due by now.
+    pub fn wake(&mut self, now: Time) {
+        while let Some((at, due)) = self.due.first().copied().filter(|d| d.0 <= now) {
+            self.due.remove(&(at, due));
+            match due {
+                Due::Timer(_, timer) => self.feed(now, Event::Timer { timer }),
+                Due::Answer(request) => {
+                    if self.close(request) {
+                        self.commands.push_back(Command::Answer { request, answer: Answer::Failed });
+                        self.feed(now, Event::ClientGone { request });
+                        self.settle(request);
+                    }
+                }
+                Due::Attempt(attempt) => {
+                    let cleared = self.attempt(attempt).is_some_and(|a| a.cleared);
+                    // What still waited to be let go can't have run.
+                    let outcome = if cleared { Outcome::TimedOut } else { Outcome::Unreachable };
+                    if let Some(event) = self.end(now, attempt, outcome, None) {
+                        self.commands.push_back(Command::Cancel(attempt));
+                        self.feed(now, event);
+                        self.settle(attempt.request);
+                    }
+                }
+                Due::Probe(probe) => {
+                    if self.probes.contains_key(&probe) {
+                        self.commands.push_back(Command::CancelProbe(probe));
+                        self.probed(now, probe, Outcome::TimedOut, None);
+                    }
+                }
+            }
+        }
+    }
+
+    // ---- books ----
+    fn attempt(&self, attempt: AttemptId) -> Option<&Attempt> {
+        self.ledger.get(&attempt.request)?.attempts.get(attempt.number as usize)
+    }
+
+    fn is_out(&self, attempt: AttemptId) -> bool {
+        self.attempt(attempt).is_some_and(|a| a.out)
+    }
+
+    /// Closes a request. False: it was closed before.
+    fn close(&mut self, request: RequestId) -> bool {
+        let Some(entry) = self.ledger.get_mut(&request).filter(|e| e.open()) else { return false };
+        entry.request = None;
+        self.due.remove(&(entry.last, Due::Answer(request)));
+        true
+    }
+
+    /// Books the end of an attempt that is out, and says how to tell it.
+    fn end(
+        &mut self,
+        now: Time,
+        attempt: AttemptId,
+        outcome: Outcome,
+        report: Option<LoadReport>,
+    ) -> Option<Event> {
+        let AttemptId { request, number } = attempt;
+        let entry = self.ledger.get_mut(&request)?;
+        let closed = !entry.open();
+        let a = entry.attempts.get_mut(number as usize).filter(|a| a.out)?;
+        a.out = false;
+        a.never_ran = outcome.never_ran();
+        let (server, latency) = (a.server, now - a.began);
+        self.due.remove(&(a.until, Due::Attempt(attempt)));
+        Some(Event::Ended(finchvale::Ended {
+            request,
+            attempt: number,
+            server,
+            outcome,
+            latency,
+            closed,
+            report,
+        }))
+    }
+
+    /// Forgets a request that is answered and has nothing out.
+    fn settle(&mut self, request: RequestId) {
+        if self.ledger.get(&request).is_some_and(Entry::over) {
+            let _ = self.ledger.remove(&request).is_some_and(|e| self.names.remove(&e.name));
+        }
+    }
+
+    // ---- decisions ----
+    /// Tells the decisions of an event and carries out what they want, and what comes of that at once.
+    fn feed(&mut self, now: Time, event: Event) {
+        self.events.push_back(event);
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.decide.handle(now, event, &mut actions);
+            actions.drain(..).for_each(|action| self.carry_out(now, action));
+            self.actions = actions; // For its room.
+        }
+    }
+
+    fn carry_out(&mut self, now: Time, action: Action) {
+        match action {
+            Action::Send { request, server, limit } => self.send(now, request, server, limit),
+            Action::Refuse { request, wait } => self.answer(request, |harmless| match harmless {
+                true => Answer::Refused(wait),
+                false => Answer::Failed,
+            }),
+            Action::Fail { request } => self.answer(request, |_| Answer::Failed),
+            Action::Cancel { request, attempt } => {
+                let attempt = AttemptId { request, number: attempt };
+                if let Some(event) = self.end(now, attempt, Outcome::Cancelled, None) {
+                    self.commands.push_back(Command::Cancel(attempt));
+                    self.events.push_back(event);
+                    self.settle(request);
+                }
+            }
+            Action::SetTimer { at, timer } => {
+                self.due.insert((at, Due::Timer(self.next_timer, timer)));
+                self.next_timer += 1;
+            }
+            Action::Probe { server } => self.probe(now, server),
+            Action::Watch => self.commands.push_back(Command::Watch),
+            Action::Log(line) => self.commands.push_back(Command::Log(line)),
+        }
+    }
+
+    fn answer(&mut self, request: RequestId, answer: impl FnOnce(bool) -> Answer<A>) {
+        // A client that has left takes no answer; nothing is owed then.
+        let Some(harmless) = self.ledger.get(&request).map(|e| self.rules.may_refuse(e)) else { return };
+        if self.close(request) {
+            let answer = answer(harmless);
+            self.commands.push_back(Command::Answer { request, answer });
+            self.settle(request);
+        }
+    }
+
+    fn send(&mut self, now: Time, request: RequestId, server: ServerId, limit: Option<Duration>) {
+        let Some(entry) = self.ledger.get_mut(&request) else { return };
+        let listed = self.servers.get(&server);
+        let objection = self.rules.objection(now, entry, None, listed);
+        let place = listed.map(|l| l.place).unwrap_or_default();
+        let until = limit.map_or(entry.due, |limit| entry.due.min(now + limit));
+        let number = entry.attempts.len();
+        let (cleared, out, never_ran) = (false, true, false);
+        entry.attempts.push(Attempt { server, place, began: now, until, cleared, out, never_ran });
+        let attempt = AttemptId { request, number: number as u32 };
+        match (objection, &entry.request) {
+            (None, Some(body)) if number < MOST_DECISIONS => {
+                let request = body.clone();
+                self.due.insert((until, Due::Attempt(attempt)));
+                self.commands.push_back(Command::Start { attempt, server, request });
+            }
+            _ => {
+                let ended = self.end(now, attempt, Outcome::NotSent, None);
+                self.events.extend(ended);
+                if number >= MOST_DECISIONS {
+                    self.answer(request, |_| Answer::Failed);
+                }
+            }
+        }
+    }
+
+    fn probe(&mut self, now: Time, server: ServerId) {
+        let (outcome, latency, report) = (Outcome::NotSent, Duration::ZERO, None);
+        if !self.servers.contains_key(&server) {
+            return self.events.push_back(Event::Probed(Probed { server, outcome, latency, report }));
+        }
+        let probe = ProbeId(self.next_probe);
+        self.next_probe += 1;
+        self.probes.insert(probe, (server, now));
+        self.due.insert((now + PROBE_TIMEOUT, Due::Probe(probe)));
+        self.commands.push_back(Command::Probe { probe, server });
+    }
+}
--- /dev/null
+++ b/crates/engine/tests/rules.rs
@@ -0,0 +1,487 @@
+//! The rules, whatever decides and in whatever order things happen: a scripted servers' side, a clock that the test moves.
+
+use birchswitch_engine::{
+    Answer, AttemptId, Clearance, Command, Decide, Duplicate, Ended, Engine, Incoming, ProbeId,
+};
+use finchvale::*;
+use proptest::prelude::*;
+use rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const MS: Duration = Duration::from_millis(1);
+const SERVERS: u32 = 6;
+const WINDOW: Duration = Duration::from_millis(40);
+/// Classes by position.
+const SAFE: u8 = 0;
+const KEYED: u8 = 1;
+const UNSAFE: u8 = 2;
+
+fn settings(second_copies: bool) -> Settings {
+    let class = |effect| Class {
+        effect,
+        aim: 50 * MS,
+        aim_stretch: 0.0,
+        deadline: 100 * MS,
+        worth: 1.0,
+        late_worth: 0.0,
+        streamed: false,
+        zones: None,
+        kinds: None,
+    };
+    let keyed = Effect::Keyed { group: Group::Cell, window: WINDOW };
+    Settings {
+        nodes: 1,
+        zone: ZoneId(0),
+        zones: 1,
+        classes: vec![class(Effect::Safe), class(keyed), class(Effect::Unsafe)],
+        tenants: vec![],
+        over_share_worth: 1.0,
+        worth_by_work: false,
+        weights_given: false,
+        reports: Reports::ByProbe,
+        reports_rate: false,
+        list_on_request: false,
+        max_attempts: 3,
+        may_cancel: true,
+        may_probe: true,
+        second_copies,
+        conn_idle: 1000 * MS,
+        connect_timeout: 20 * MS,
+        max_wait: Some(100 * MS),
+        rules: Rules {
+            drain_grace: 1000 * MS,
+            cold_from: 0.5,
+            warm_up: 100 * MS,
+            fall_multiple: 3.0,
+            fall_time: 100 * MS,
+            ask_within: 1000 * MS,
+        },
+    }
+}
+
+fn entry(server: u32, state: ServerState) -> ServerEntry {
+    ServerEntry {
+        server: ServerId(server),
+        zone: ZoneId(0),
+        kind: KindId(0),
+        cell: CellId(server as u16 / 2),
+        state,
+        weight: 1.0,
+        started: None,
+    }
+}
+
+fn below(rng: &mut Xoshiro256PlusPlus, n: u64) -> u64 {
+    rng.next_u64() % n
+}
+
+/// Decides anything at all: the rules may not rest on good sense.
+struct Wild {
+    rng: Xoshiro256PlusPlus,
+    requests: u64,
+}
+
+impl Decide for Wild {
+    fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        if let Event::Arrival(arrival) = event {
+            self.requests = self.requests.max(arrival.request.0 + 1);
+        }
+        for _ in 0..below(&mut self.rng, 3) {
+            let request = RequestId(below(&mut self.rng, self.requests + 1));
+            let server = ServerId(below(&mut self.rng, SERVERS.into()) as u32);
+            let some = Duration::from_millis(below(&mut self.rng, 60));
+            actions.push(match below(&mut self.rng, 10) {
+                0 => Action::Refuse { request, wait: Some(some) },
+                1 => Action::Fail { request },
+                2 => Action::Cancel { request, attempt: below(&mut self.rng, 4) as u32 },
+                3 => Action::SetTimer { at: now + some, timer: TimerId(0) },
+                4 => Action::Probe { server },
+                _ => Action::Send { request, server, limit: (below(&mut self.rng, 2) == 0).then_some(some) },
+            });
+        }
+    }
+}
+
+/// An attempt as the servers' side holds it.
+#[derive(Clone, Copy)]
+struct Held {
+    attempt: AttemptId,
+    server: ServerId,
+    written: bool,
+}
+
+/// What really happened to a request.
+#[derive(Default)]
+struct Truth {
+    class: u8,
+    last: Time,
+    left: bool,
+    answers: Vec<(Time, Answer<u32>)>,
+    /// Each write: server, time, and whether it is proved, and told, that it never ran.
+    writes: Vec<(AttemptId, ServerId, Time, bool)>,
+}
+
+/// An engine between clients and servers that a test plays.
+struct World<D> {
+    engine: Engine<D, u32, u32>,
+    now: Time,
+    held: Vec<Held>,
+    probes: Vec<ProbeId>,
+    states: BTreeMap<u32, ServerState>,
+    truth: BTreeMap<RequestId, Truth>,
+    second_copies: bool,
+}
+
+impl<D: Decide> World<D> {
+    fn new(decide: D, second_copies: bool) -> Self {
+        let engine = Engine::new(decide, &settings(second_copies));
+        let (now, states) = (Time(1_000_000_000), BTreeMap::new());
+        let (held, probes, truth) = (Vec::new(), Vec::new(), BTreeMap::new());
+        let mut world = World { engine, now, held, probes, states, truth, second_copies };
+        let all = (0..SERVERS).map(|s| entry(s, ServerState::Ready)).collect();
+        world.list(ListKind::Full, all);
+        world
+    }
+
+    fn list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
+        self.states.extend(entries.iter().map(|e| (e.server.0, e.state)));
+        self.engine.list(self.now, kind, entries);
+        self.drain();
+    }
+
+    fn arrive(&mut self, class: u8, name: &[u8]) -> Result<RequestId, Duplicate> {
+        let (due, last) = (self.now + 100 * MS, self.now + 105 * MS);
+        let incoming = Incoming {
+            class: ClassId(class),
+            tenant: TenantId(0),
+            work: None,
+            due,
+            last,
+            name: name.into(),
+            request: 7,
+        };
+        let id = self.engine.arrive(self.now, incoming)?;
+        self.truth.insert(id, Truth { class, last, ..Truth::default() });
+        self.drain();
+        Ok(id)
+    }
+
+    /// Carries out what the engine wants, and checks it.
+    fn drain(&mut self) {
+        while let Some(command) = self.engine.command() {
+            match command {
+                Command::Start { attempt, server, request } => {
+                    assert_eq!(*request, 7);
+                    self.held.push(Held { attempt, server, written: false });
+                }
+                Command::Cancel(attempt) => self.held.retain(|h| h.attempt != attempt),
+                Command::Answer { request, answer } => {
+                    let truth = self.truth.get_mut(&request).expect("a request that came");
+                    assert!(truth.answers.is_empty(), "{request} answered twice");
+                    assert!(!truth.left, "{request} answered after its client left");
+                    assert!(self.now <= truth.last, "{request} answered late");
+                    let risky = truth.writes.iter().any(|w| !w.3);
+                    if matches!(answer, Answer::Refused(_)) && truth.class != SAFE {
+                        assert!(!risky, "{request} refused, and may have run");
+                    }
+                    truth.answers.push((self.now, answer));
+                }
+                Command::Probe { probe, .. } => self.probes.push(probe),
+                Command::CancelProbe(probe) => self.probes.retain(|p| *p != probe),
+                Command::Watch | Command::Log(_) => {}
+            }
+        }
+    }
+
+    /// The first byte of an attempt that waits would go out now.
+    fn write(&mut self, at: usize) -> Clearance {
+        let Held { attempt, server, .. } = self.held[at];
+        let clearance = self.engine.clear(self.now, attempt);
+        if clearance == Clearance::Stop {
+            self.held.remove(at);
+            self.engine.ended(self.now, attempt, Ended::bare(Outcome::NotSent));
+            self.drain();
+            return clearance;
+        }
+        let now = self.now;
+        let others_out = self.held.iter().any(|h| h.written && h.attempt.request == attempt.request);
+        let truth = self.truth.get_mut(&attempt.request).expect("a request that came");
+        assert!(truth.answers.is_empty() && !truth.left, "written after its end");
+        assert_eq!(self.states[&server.0], ServerState::Ready, "new work for a server that takes none");
+        assert!(truth.writes.iter().all(|w| w.0 != attempt), "written twice");
+        assert!(truth.writes.len() < 3, "more attempts than the site allows");
+        assert!(self.second_copies || !others_out, "two copies out");
+        let risky: Vec<_> = truth.writes.iter().filter(|w| !w.3).collect();
+        match truth.class {
+            KEYED => {
+                assert!(risky.iter().all(|w| w.1 .0 / 2 == server.0 / 2), "repeated outside its group");
+                assert!(risky.iter().all(|w| now < w.2 + WINDOW), "repeated after its window");
+            }
+            UNSAFE => assert!(risky.is_empty(), "an unsafe request may run twice"),
+            _ => {}
+        }
+        truth.writes.push((attempt, server, now, false));
+        self.held[at].written = true;
+        clearance
+    }
+
+    fn end(&mut self, at: usize, outcome: Outcome) {
+        let held = self.held.remove(at);
+        let truth = self.truth.get_mut(&held.attempt.request).expect("a request that came");
+        for write in truth.writes.iter_mut().filter(|w| w.0 == held.attempt) {
+            write.3 = outcome.never_ran();
+        }
+        let answer = (outcome == Outcome::Served).then_some(held.server.0);
+        self.engine.ended(self.now, held.attempt, Ended { outcome, report: None, answer });
+        self.drain();
+    }
+
+    fn advance(&mut self, by: Duration) {
+        let to = self.now + by;
+        while let Some(at) = self.engine.next_wake().filter(|at| *at <= to) {
+            self.now = self.now.max(at);
+            self.engine.wake(self.now);
+            self.drain();
+        }
+        self.now = to;
+    }
+
+    /// One random thing.
+    fn step(&mut self, rng: &mut Xoshiro256PlusPlus) {
+        let some = below(rng, 1 << 20) as usize;
+        match below(rng, 12) {
+            0..=2 => {
+                // Names are few, so that some come again while they are open.
+                let _ = self.arrive((some % 3) as u8, &[(some / 3 % 40) as u8]);
+            }
+            3..=5 if !self.held.is_empty() => {
+                let at = some % self.held.len();
+                match (self.held[at].written, some / 64 % 4) {
+                    (false, 0) => self.end(at, Outcome::Unreachable),
+                    (false, _) => {
+                        self.write(at);
+                    }
+                    (true, 0) => self.end(at, Outcome::Served),
+                    (true, 1) => self.end(at, Outcome::TurnedAway),
+                    (true, 2) => self.end(at, Outcome::Broken),
+                    (true, _) => self.end(at, Outcome::Error),
+                }
+            }
+            6 if !self.truth.is_empty() => {
+                let id = *self.truth.keys().nth(some % self.truth.len()).expect("one of them");
+                let truth = self.truth.get_mut(&id).expect("one of them");
+                truth.left |= truth.answers.is_empty();
+                self.engine.leave(self.now, id);
+                self.drain();
+            }
+            7 => {
+                use ServerState::*;
+                let state = [Ready, Ready, Draining, Gone][some % 4];
+                self.list(ListKind::Changes, vec![entry((some / 4) as u32 % SERVERS, state)]);
+            }
+            8 if !self.probes.is_empty() => {
+                let probe = self.probes.remove(some % self.probes.len());
+                self.engine.probed(self.now, probe, Outcome::Served, Some(LoadReport::default()));
+                self.drain();
+            }
+            _ => self.advance(Duration::from_micros(some as u64 % 20_000)),
+        }
+    }
+
+    /// Lets everything come to its end, and looks whether it did.
+    fn finish(&mut self) {
+        self.advance(500 * MS);
+        for (id, truth) in &self.truth {
+            assert_eq!(truth.answers.len(), usize::from(!truth.left), "{id}: one answer each");
+        }
+        assert_eq!(self.engine.in_hand(), 0, "nothing is kept");
+        assert!(self.held.is_empty(), "nothing is out that nobody waits for");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(600))]
+
+    #[test]
+    fn the_rules_hold_whatever_is_decided(seed: u64, second_copies: bool, steps in 1usize..250) {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let wild = Wild { rng: Xoshiro256PlusPlus::seed_from_u64(!seed), requests: 0 };
+        let mut world = World::new(wild, second_copies);
+        (0..steps).for_each(|_| world.step(&mut rng));
+        world.finish();
+    }
+
+    #[test]
+    fn the_rules_hold_with_the_decisions_in_service(seed: u64, second_copies: bool, steps in 1usize..250) {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let balancer = Balancer::new(settings(second_copies), seed, Time(1_000_000_000)).expect("settings");
+        let mut world = World::new(balancer, second_copies);
+        (0..steps).for_each(|_| world.step(&mut rng));
+        world.finish();
+    }
+}
+
+/// Sends what comes to the first server, and each ended attempt on to the next; refuses what a server turned away twice.
+struct Onward;
+
+impl Decide for Onward {
+    fn handle(&mut self, _: Time, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Arrival(a) => {
+                actions.push(Action::Send { request: a.request, server: ServerId(0), limit: None });
+            }
+            Event::Ended(e) if !e.closed && e.attempt < 2 => {
+                let server = ServerId(e.server.0 + 1);
+                actions.push(Action::Send { request: e.request, server, limit: None });
+            }
+            Event::Ended(e) if !e.closed => actions.push(Action::Refuse { request: e.request, wait: None }),
+            _ => {}
+        }
+    }
+}
+
+/// How an answer reads.
+fn answered<D: Decide>(world: &World<D>, id: RequestId) -> Option<Answer<u32>> {
+    world.truth[&id].answers.first().map(|a| a.1.clone())
+}
+
+#[test]
+fn a_drain_told_between_choice_and_write_stops_the_write() {
+    let mut world = World::new(Onward, false);
+    let id = world.arrive(UNSAFE, b"a").expect("taken");
+    world.list(ListKind::Changes, vec![entry(0, ServerState::Draining)]);
+    assert_eq!(world.write(0), Clearance::Stop);
+    // It surely didn't run: it goes on, also though it is unsafe.
+    assert_eq!((world.held.len(), world.held[0].server), (1, ServerId(1)));
+    assert!(matches!(world.write(0), Clearance::Go(_)));
+    world.end(0, Outcome::Served);
+    assert_eq!(answered(&world, id), Some(Answer::Served(1)));
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_is_not_sent_again_and_not_refused() {
+    let mut world = World::new(Onward, false);
+    let id = world.arrive(UNSAFE, b"a").expect("taken");
+    world.write(0);
+    world.end(0, Outcome::Broken);
+    assert!(world.held.is_empty());
+    assert_eq!(answered(&world, id), Some(Answer::Failed));
+}
+
+#[test]
+fn a_key_is_repeated_in_its_cell_only_and_not_after_its_window() {
+    for (wait, outcome) in [(Duration::ZERO, true), (WINDOW, false)] {
+        let mut world = World::new(Onward, false);
+        world.arrive(KEYED, b"a").expect("taken");
+        world.write(0);
+        world.end(0, Outcome::Broken);
+        // The next one, of the same cell, gets ready; connecting takes time.
+        assert_eq!(world.held[0].server, ServerId(1));
+        world.advance(wait);
+        assert_eq!(matches!(world.write(0), Clearance::Go(_)), outcome, "after {wait:?}");
+        if outcome {
+            world.end(0, Outcome::Broken);
+            assert!(world.held.is_empty(), "server 2 is of another cell");
+        }
+    }
+}
+
+#[test]
+fn an_attempt_is_let_go_once() {
+    let mut world = World::new(Onward, false);
+    world.arrive(SAFE, b"a").expect("taken");
+    let attempt = world.held[0].attempt;
+    assert!(matches!(world.engine.clear(world.now, attempt), Clearance::Go(_)));
+    assert_eq!(world.engine.clear(world.now, attempt), Clearance::Stop);
+}
+
+/// What was given up must not go out: nobody waits for it any more, and its request may be elsewhere.
+#[test]
+fn an_attempt_that_was_given_up_or_is_over_is_not_let_go() {
+    struct Brief;
+    impl Decide for Brief {
+        fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+            match event {
+                Event::Arrival(a) => {
+                    let limit = Some(20 * MS);
+                    actions.push(Action::Send { request: a.request, server: ServerId(0), limit });
+                    actions.push(Action::SetTimer { at: now + 10 * MS, timer: TimerId(0) });
+                }
+                Event::Timer { .. } => actions.push(Action::Cancel { request: RequestId(0), attempt: 0 }),
+                _ => {}
+            }
+        }
+    }
+    for given_up in [true, false] {
+        let mut world = World::new(Brief, false);
+        let id = world.arrive(SAFE, b"a").expect("taken");
+        let attempt = AttemptId { request: id, number: 0 };
+        match given_up {
+            true => world.advance(10 * MS),
+            false => world.now = world.now + 20 * MS, // The clock is ahead of the timers.
+        }
+        assert_eq!(world.engine.clear(world.now, attempt), Clearance::Stop);
+        assert!(world.truth[&id].answers.is_empty(), "the request itself is still open");
+    }
+}
+
+#[test]
+fn a_name_is_free_again_once_nothing_is_out() {
+    let mut world = World::new(Onward, false);
+    let id = world.arrive(UNSAFE, b"a").expect("taken");
+    world.write(0);
+    assert_eq!(world.arrive(UNSAFE, b"a"), Err(Duplicate));
+    world.truth.get_mut(&id).expect("it came").left = true;
+    world.engine.leave(world.now, id);
+    // Its client left, but a server still works on it.
+    assert_eq!(world.arrive(UNSAFE, b"a"), Err(Duplicate));
+    world.end(0, Outcome::Served);
+    assert!(world.arrive(UNSAFE, b"a").is_ok());
+}
+
+#[test]
+fn an_attempt_that_was_not_written_in_time_did_not_run() {
+    let mut world = World::new(Onward, false);
+    let (one, two) = (world.arrive(UNSAFE, b"a").expect("taken"), world.arrive(UNSAFE, b"b").expect("taken"));
+    world.write(1);
+    world.advance(100 * MS);
+    // The first was still connecting: it could be refused. The second may have run.
+    assert_eq!(answered(&world, one), Some(Answer::Refused(None)));
+    assert_eq!(answered(&world, two), Some(Answer::Failed));
+}
+
+/// With nobody to decide anything the answer still goes out, and no later than its last moment.
+#[test]
+fn a_request_that_nobody_decides_on_fails_in_time() {
+    struct Silent;
+    impl Decide for Silent {
+        fn handle(&mut self, _: Time, _: Event, _: &mut Vec<Action>) {}
+    }
+    let mut world = World::new(Silent, false);
+    let id = world.arrive(SAFE, b"a").expect("taken");
+    let last = world.truth[&id].last;
+    world.advance(1000 * MS);
+    assert_eq!(world.truth[&id].answers, [(last, Answer::Failed)]);
+    assert_eq!((world.engine.in_hand(), world.engine.next_wake()), (0, None));
+}
+
+/// Decisions that go round in a circle end.
+#[test]
+fn a_request_that_is_sent_on_for_ever_is_given_up() {
+    struct Round;
+    impl Decide for Round {
+        fn handle(&mut self, _: Time, event: Event, actions: &mut Vec<Action>) {
+            let request = match event {
+                Event::Arrival(a) => a.request,
+                Event::Ended(e) if !e.closed => e.request,
+                _ => return,
+            };
+            actions.push(Action::Send { request, server: ServerId(99), limit: None });
+        }
+    }
+    let mut world = World::new(Round, false);
+    let id = world.arrive(SAFE, b"a").expect("taken");
+    assert_eq!(answered(&world, id), Some(Answer::Failed));
+}
--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,353 @@
+//! Runs an [`Engine`] on one thread of tokio.
+//!
+//! The engine says what is to be done; this carries it out with one task for each attempt and probe, one timer for
+//! everything that is due, and a clock. A protocol comes in twice: its front calls [`Host::arrive`], and its servers'
+//! side is an [`Upstream`].
+//!
+//! It decides nothing, and never waits while the engine is borrowed. Everything runs on a `LocalSet`.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+use birchswitch_engine::{
+    Answer, AttemptId, Clearance, Command, Duplicate, Ended, Engine, Incoming, ProbeId,
+};
+use birchswitch_membership::{list::ServerList, Directory, Target};
+use finchvale::{
+    Balancer, ListKind, LoadReport, Outcome, RequestId, ServerEntry, ServerId, Settings, SettingsError, Time,
+};
+use rustc_hash::FxHashMap;
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::future::Future;
+use std::io::Write;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{oneshot, Notify};
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::{sleep_until, Instant};
+
+/// The servers' side of a protocol.
+pub trait Upstream: Sized + 'static {
+    /// What goes to a server. The engine keeps it until the request is answered.
+    type Request: 'static;
+    /// What a server answered, for the front of the same protocol.
+    type Answer: 'static;
+
+    /// Takes in what became of servers.
+    fn learn(&self, targets: &[Target]);
+
+    /// Makes one attempt: gets a connection, asks [`Ticket::clear`] right before the first byte, sends once, and tells
+    /// [`Ticket::end`]. What it does after that is its own affair. Dropped when the attempt is given up: its connection
+    /// has to go with it.
+    fn attempt(
+        self: Rc<Self>,
+        server: ServerId,
+        request: Rc<Self::Request>,
+        ticket: Ticket<Self>,
+    ) -> impl Future<Output = ()> + 'static;
+
+    /// Asks a server for its load and tells [`ProbeTicket::end`]. Dropped when it takes too long.
+    fn probe(
+        self: Rc<Self>,
+        server: ServerId,
+        ticket: ProbeTicket<Self>,
+    ) -> impl Future<Output = ()> + 'static;
+}
+
+/// The decisions' clock: Unix time at the process's start, and monotonic from there.
+#[derive(Clone, Copy)]
+struct Clock {
+    started: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { started: Instant::now(), unix }
+    }
+
+    fn time(&self, at: Instant) -> Time {
+        Time(0) + self.unix + at.saturating_duration_since(self.started)
+    }
+
+    fn instant(&self, at: Time) -> Instant {
+        self.started + (at - (Time(0) + self.unix))
+    }
+}
+
+/// A client's request, with its times on tokio's clock.
+pub struct Request<R> {
+    /// The engine's part of it; its times are filled in here.
+    pub incoming: Incoming<R>,
+    /// When the decisions have to be over.
+    pub due: Instant,
+    /// When the answer goes out whatever they say.
+    pub last: Instant,
+}
+
+/// See the crate's own words.
+pub struct Host<U: Upstream> {
+    me: Weak<Host<U>>,
+    name: String,
+    clock: Clock,
+    upstream: Rc<U>,
+    engine: RefCell<Engine<Balancer, U::Request, U::Answer>>,
+    directory: RefCell<Directory>,
+    replies: RefCell<FxHashMap<RequestId, oneshot::Sender<Answer<U::Answer>>>>,
+    attempts: RefCell<FxHashMap<AttemptId, AbortHandle>>,
+    probes: RefCell<FxHashMap<ProbeId, AbortHandle>>,
+    /// When the timer goes off next, and how to tell it of something earlier.
+    timer: Cell<Option<Time>>,
+    earlier: Notify,
+    /// Opens the watch that the decisions ask for.
+    watch: RefCell<Box<dyn Fn()>>,
+    revision: Cell<u64>,
+    servers_listed: Cell<bool>,
+    /// Nothing more is begun: the tasks that would do it are going.
+    closed: Cell<bool>,
+}
+
+impl<U: Upstream> Host<U> {
+    /// Starts with no servers and no requests. The decisions are owed [`Host::known`] first.
+    pub fn new(
+        name: String,
+        settings: Settings,
+        seed: u64,
+        directory: Directory,
+        upstream: Rc<U>,
+    ) -> Result<Rc<Self>, SettingsError> {
+        let clock = Clock::new();
+        let balancer = Balancer::new(settings.clone(), seed, clock.time(Instant::now()))?;
+        let host = Rc::new_cyclic(|me: &Weak<Self>| Host {
+            me: me.clone(),
+            name,
+            clock,
+            upstream,
+            engine: RefCell::new(Engine::new(balancer, &settings)),
+            directory: RefCell::new(directory),
+            replies: RefCell::default(),
+            attempts: RefCell::default(),
+            probes: RefCell::default(),
+            timer: Cell::new(None),
+            earlier: Notify::new(),
+            watch: RefCell::new(Box::new(|| {})),
+            revision: Cell::new(0),
+            servers_listed: Cell::new(false),
+            closed: Cell::new(false),
+        });
+        spawn_local(keep_time(Rc::downgrade(&host)));
+        Ok(host)
+    }
+
+    /// What to do when the decisions ask for a watch.
+    pub fn on_watch(&self, watch: impl Fn() + 'static) {
+        *self.watch.borrow_mut() = Box::new(watch);
+    }
+
+    /// A line for the node's log.
+    pub fn log(&self, line: fmt::Arguments) {
+        // Nobody may be left to read it: that is no reason to stop serving, which `eprintln!` would make of it.
+        let _ = writeln!(std::io::stderr(), "{}: {line}", self.name);
+    }
+
+    /// Version of the list held.
+    pub fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    /// Whether a list was held that names a server.
+    pub fn ready(&self) -> bool {
+        self.servers_listed.get()
+    }
+
+    /// Requests in hand.
+    pub fn in_hand(&self) -> usize {
+        self.engine.borrow().in_hand()
+    }
+
+    /// Begins nothing more, whatever still ends. For the process's own end.
+    pub fn close(&self) {
+        self.closed.set(true);
+    }
+
+    // ---- what happens ----
+    /// Takes in the list as last known before the start. The decisions are owed one, be it empty.
+    pub fn known(&self, list: Option<&ServerList>) {
+        let entries = list.map(|l| self.take(l)).unwrap_or_default();
+        self.told(ListKind::Cached, entries);
+    }
+
+    /// Takes in what discovery says.
+    pub fn list(&self, list: &ServerList) {
+        let kind = if list.complete { ListKind::Full } else { ListKind::Changes };
+        let entries = self.take(list);
+        self.told(kind, entries);
+    }
+
+    /// A watch that the decisions asked for came to nothing, or ended.
+    pub fn watch_failed(&self) {
+        self.told(ListKind::Failed, Vec::new());
+    }
+
+    fn take(&self, list: &ServerList) -> Vec<ServerEntry> {
+        self.revision.set(list.revision);
+        let update = self.directory.borrow_mut().take(list);
+        self.upstream.learn(&update.targets);
+        self.servers_listed.set(self.servers_listed.get() || !update.entries.is_empty());
+        update.entries
+    }
+
+    fn told(&self, kind: ListKind, entries: Vec<ServerEntry>) {
+        self.with(|engine, now| engine.list(now, kind, entries));
+    }
+
+    /// Takes a client's request. Dropping [`Taken`] before its answer is the client's leaving.
+    pub fn arrive(&self, request: Request<U::Request>) -> Result<Taken<U>, Duplicate> {
+        let Request { incoming, due, last } = request;
+        let incoming = Incoming { due: self.clock.time(due), last: self.clock.time(last), ..incoming };
+        let (reply, answer) = oneshot::channel();
+        let now = self.now();
+        let id = self.engine.borrow_mut().arrive(now, incoming)?;
+        self.replies.borrow_mut().insert(id, reply);
+        self.carry_out();
+        Ok(Taken { host: self.me.clone(), id, answer })
+    }
+
+    fn now(&self) -> Time {
+        self.clock.time(Instant::now())
+    }
+
+    fn with<T>(&self, call: impl FnOnce(&mut Engine<Balancer, U::Request, U::Answer>, Time) -> T) -> T {
+        let now = self.now();
+        let value = call(&mut self.engine.borrow_mut(), now);
+        self.carry_out();
+        value
+    }
+
+    // ---- what is to be done ----
+    fn carry_out(&self) {
+        while !self.closed.get() {
+            let command = self.engine.borrow_mut().command();
+            match command {
+                Some(command) => self.obey(command),
+                None => break,
+            }
+        }
+        let next = self.engine.borrow().next_wake();
+        if next.is_some_and(|n| self.timer.get().is_none_or(|t| n < t)) {
+            self.timer.set(next);
+            self.earlier.notify_one();
+        }
+    }
+
+    fn obey(&self, command: Command<U::Request, U::Answer>) {
+        match command {
+            Command::Start { attempt, server, request } => {
+                let ticket = Ticket { host: self.me.clone(), attempt };
+                let task = spawn_local(self.upstream.clone().attempt(server, request, ticket));
+                self.attempts.borrow_mut().insert(attempt, task.abort_handle());
+            }
+            Command::Cancel(attempt) => {
+                self.attempts.borrow_mut().remove(&attempt).iter().for_each(AbortHandle::abort);
+            }
+            Command::Answer { request, answer } => {
+                if let Some(reply) = self.replies.borrow_mut().remove(&request) {
+                    let _ = reply.send(answer); // A client that left in this very moment takes none.
+                }
+            }
+            Command::Probe { probe, server } => {
+                let ticket = ProbeTicket { host: self.me.clone(), probe };
+                let task = spawn_local(self.upstream.clone().probe(server, ticket));
+                self.probes.borrow_mut().insert(probe, task.abort_handle());
+            }
+            Command::CancelProbe(probe) => {
+                self.probes.borrow_mut().remove(&probe).iter().for_each(AbortHandle::abort);
+            }
+            Command::Watch => (self.watch.borrow())(),
+            Command::Log(line) => self.log(format_args!("{line}")),
+        }
+    }
+}
+
+/// Wakes the engine whenever something is due.
+async fn keep_time<U: Upstream>(host: Weak<Host<U>>) {
+    loop {
+        let Some(me) = host.upgrade() else { return };
+        let now = me.now();
+        let next = me.engine.borrow().next_wake();
+        if next.is_some_and(|n| n <= now) {
+            me.with(|engine, now| engine.wake(now));
+            continue;
+        }
+        me.timer.set(next);
+        let at = next.map(|n| me.clock.instant(n));
+        tokio::select! {
+            biased;
+            () = me.earlier.notified() => {}
+            () = sleep_until(at.unwrap_or_else(Instant::now)), if at.is_some() => {}
+        }
+    }
+}
+
+/// A request that was taken.
+pub struct Taken<U: Upstream> {
+    host: Weak<Host<U>>,
+    id: RequestId,
+    answer: oneshot::Receiver<Answer<U::Answer>>,
+}
+
+impl<U: Upstream> Taken<U> {
+    /// The final answer, at the request's last moment if not before.
+    pub async fn answer(mut self) -> Answer<U::Answer> {
+        (&mut self.answer).await.unwrap_or(Answer::Failed)
+    }
+}
+
+impl<U: Upstream> Drop for Taken<U> {
+    fn drop(&mut self) {
+        // If no answer was given, nothing is owed any more.
+        let Some(host) = self.host.upgrade() else { return };
+        let owed = host.replies.borrow_mut().remove(&self.id);
+        if owed.is_some() {
+            host.with(|engine, now| engine.leave(now, self.id));
+        }
+    }
+}
+
+/// One attempt's line to the engine. An attempt that is dropped without an end runs into its time-out.
+pub struct Ticket<U: Upstream> {
+    host: Weak<Host<U>>,
+    attempt: AttemptId,
+}
+
+impl<U: Upstream> Ticket<U> {
+    /// Asked right before the first byte: whether it may go out, and how long the attempt has.
+    pub fn clear(&self) -> Clearance {
+        let Some(host) = self.host.upgrade() else { return Clearance::Stop };
+        host.with(|engine, now| engine.clear(now, self.attempt))
+    }
+
+    /// Tells how the attempt ended.
+    pub fn end(self, ended: Ended<U::Answer>) {
+        let Some(host) = self.host.upgrade() else { return };
+        host.attempts.borrow_mut().remove(&self.attempt);
+        host.with(|engine, now| engine.ended(now, self.attempt, ended));
+    }
+}
+
+/// One probe's line to the engine.
+pub struct ProbeTicket<U: Upstream> {
+    host: Weak<Host<U>>,
+    probe: ProbeId,
+}
+
+impl<U: Upstream> ProbeTicket<U> {
+    /// Tells how the probe ended, and the server's word on its load.
+    pub fn end(self, outcome: Outcome, report: Option<LoadReport>) {
+        let Some(host) = self.host.upgrade() else { return };
+        host.probes.borrow_mut().remove(&self.probe);
+        host.with(|engine, now| engine.probed(now, self.probe, outcome, report));
+    }
+}
--- a/node/src/frontend.rs
+++ b/crates/http/src/front.rs
@@ -1,9 +1,12 @@
 //! The clients' side: takes connections and requests, checks them, and writes the final answers.
 
-use crate::engine::{Answer, Engine, Incoming};
 use crate::gate::{self, Gate, Guard, Head, Next, Problem, MOST_BODY};
+use crate::upstream::HttpUpstream;
+use birchswitch_engine::{Answer, Incoming};
+use birchswitch_host::{Host, Request as Taking};
+use birchswitch_site::Names;
 use bytes::Bytes;
-use finchvale::{ClassId, Effect, TenantId};
+use finchvale::{ClassId, Effect, TenantId, Time};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming as Body;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -89,9 +92,10 @@
     Closing,
 }
 
-/// What a connection needs to know.
-pub struct Frontend {
-    engine: Rc<Engine>,
+/// The clients' side of a node.
+pub struct Front {
+    host: Rc<Host<HttpUpstream>>,
+    names: Rc<Names>,
     effects: Vec<Effect>,
     phase: watch::Receiver<Phase>,
     most: u32,
@@ -198,16 +202,18 @@
     }
 }
 
-impl Frontend {
+impl Front {
     /// Takes at most `connections` at a time.
     pub fn new(
-        engine: Rc<Engine>,
+        host: Rc<Host<HttpUpstream>>,
+        names: Rc<Names>,
         effects: Vec<Effect>,
         connections: u32,
         phase: watch::Receiver<Phase>,
     ) -> Rc<Self> {
-        Rc::new(Frontend {
-            engine,
+        Rc::new(Front {
+            host,
+            names,
             effects,
             phase,
             most: connections,
@@ -240,7 +246,7 @@
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => self.clone().connected(stream, permit),
                     Err(error) => {
-                        self.engine.log(format_args!("accept: {error}"));
+                        self.host.log(format_args!("accept: {error}"));
                         tokio::time::sleep(ACCEPT_PAUSE).await;
                     }
                 },
@@ -362,11 +368,11 @@
         let head = Instant::now();
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/health/ready") => {
-                let ready = self.engine.ready() && *self.phase.borrow() == Phase::Serving;
+                let ready = self.host.ready() && *self.phase.borrow() == Phase::Serving;
                 return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
             }
             (&Method::GET, "/health/live") => {
-                return plain(StatusCode::OK, format!("list {}\n", self.engine.revision()));
+                return plain(StatusCode::OK, format!("list {}\n", self.host.revision()));
             }
             _ => {}
         }
@@ -390,12 +396,14 @@
         *outgoing.method_mut() = parts.method;
         *outgoing.uri_mut() = order.target;
         *outgoing.headers_mut() = end_to_end(parts.headers);
-        let Order { class, tenant, work, id, .. } = order;
-        let taken = self.engine.arrival(Incoming { class, tenant, work, due, id, request: outgoing });
-        let Some(taken) = taken else {
+        let Order { class, tenant, work, id: name, .. } = order;
+        // The host fills in the times.
+        let (no_due, no_last) = (Time(0), Time(0));
+        let incoming = Incoming { class, tenant, work, due: no_due, last: no_last, name, request: outgoing };
+        let Ok(taken) = self.host.arrive(Taking { incoming, due, last: due + margin / OVERDUE }) else {
             return turned_down(StatusCode::CONFLICT, "a request of this X-Request-ID is open");
         };
-        match taken.answer(due + margin / OVERDUE).await {
+        match taken.answer().await {
             Answer::Served(response) => {
                 let (head, body) = response.into_parts();
                 let mut response = Response::new(Full::new(body));
@@ -421,7 +429,7 @@
     /// Reads what a request's head says of it, or why it is turned down.
     fn read_head(&self, method: &Method, uri: &Uri, headers: &HeaderMap) -> Result<Order, Problem> {
         let bad = |why| (StatusCode::BAD_REQUEST, why);
-        let names = self.engine.names();
+        let names = &self.names;
         let class = uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
         let class = names.classes.iter().position(|c| c == class && !c.is_empty());
         let class = class.ok_or((StatusCode::NOT_FOUND, "unknown class of requests"))?;
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,12 @@
+//! HTTP/1.1 on the engine: [`Front`] takes clients' requests, [`HttpUpstream`] sends them to servers, and between
+//! each socket and hyper stands a gate that lets through one message at a time.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod front;
+mod gate;
+mod upstream;
+
+pub use front::{Front, Phase};
+pub use upstream::{HttpUpstream, Limits};
--- a/node/src/backend.rs
+++ b/crates/http/src/upstream.rs
@@ -1,10 +1,12 @@
 //! The servers' side: their addresses and states, connections to them, and what is sent over these.
 
-use crate::discovery::{Phase, ServerList};
 use crate::gate::{self, Gate, Guard, Head, Next, Problem, MOST_BODY};
+use birchswitch_engine::{Clearance, Ended};
+use birchswitch_host::{ProbeTicket, Ticket, Upstream};
+use birchswitch_membership::Target;
+use birchswitch_site::{Field, Names};
 use bytes::Bytes;
-use finchvale::{KindId, LoadReport, Outcome, ServerEntry, ServerId, ServerState, Time, ZoneId};
-use finchvale_drill::settings::{Field, Names};
+use finchvale::{LoadReport, Outcome, ServerId, ServerState};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -22,7 +24,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{timeout, Instant};
 
 /// A connection is idle again once its answer is read; one that takes longer has something wrong with it.
 const SETTLE: Duration = Duration::from_millis(5);
@@ -31,26 +33,17 @@
 const QUARANTINE: Duration = Duration::from_millis(5);
 
 /// One server, as long as the list names it or something is out there.
-pub struct Server {
-    /// Its id at this node.
-    pub id: ServerId,
-    name: String,
+struct Server {
     address: Cell<SocketAddr>,
-    state: Cell<ServerState>,
-    started: Cell<Option<Time>>,
+    /// Whether anything new may go there.
+    takes_new: Cell<bool>,
     /// Grows whenever the connections made so far are of no more use.
     generation: Cell<u64>,
     /// The most recently used one is last.
     idle: RefCell<Vec<Idle>>,
-    place: Cell<(ZoneId, KindId, u16)>,
 }
 
 impl Server {
-    /// Whether anything new may go there.
-    fn takes_new(&self) -> bool {
-        self.state.get() == ServerState::Ready
-    }
-
     fn abandon_connections(&self) {
         self.generation.set(self.generation.get() + 1);
         self.idle.borrow_mut().clear();
@@ -63,7 +56,7 @@
 }
 
 /// One connection to a server; dropping it closes it.
-pub struct Connection {
+struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     /// Not a hold on it: it is closed with its driver, also while the connection is idle.
@@ -107,22 +100,11 @@
     }
 }
 
-/// What a server's answer comes to.
-pub struct Exchange {
-    /// How the attempt or probe ended.
-    pub outcome: Outcome,
-    /// The load report that came along.
-    pub report: Option<LoadReport>,
-    /// The answer to pass on, of one that was served.
-    pub answer: Option<Response<Bytes>>,
-    /// The connection, if it is good for another request.
-    pub connection: Option<Connection>,
-}
+/// What a server's answer comes to, and the connection, if it is good for another request.
+type Exchange = (Ended<Response<Bytes>>, Option<Connection>);
 
-impl Exchange {
-    fn failed(outcome: Outcome) -> Self {
-        Exchange { outcome, report: None, answer: None, connection: None }
-    }
+fn failed(outcome: Outcome) -> Exchange {
+    (Ended::bare(outcome), None)
 }
 
 /// The limits on connections to servers.
@@ -136,14 +118,12 @@
 }
 
 /// All servers and the connections to them.
-pub struct Backends {
+pub struct HttpUpstream {
     limits: Limits,
-    names: Names,
+    names: Rc<Names>,
     fields: Vec<Field>,
     slots: Arc<Semaphore>,
-    by_name: RefCell<FxHashMap<String, Rc<Server>>>,
-    by_id: RefCell<FxHashMap<ServerId, Rc<Server>>>,
-    next_id: Cell<u32>,
+    servers: RefCell<FxHashMap<ServerId, Rc<Server>>>,
 }
 
 /// Names the header of a load report.
@@ -151,110 +131,21 @@
 /// Marks an answer that proves that the request was not run.
 const NOT_PROCESSED: HeaderName = HeaderName::from_static("x-not-processed");
 
-impl Backends {
-    /// Starts with no servers.
-    pub fn new(limits: Limits, names: Names, fields: Vec<Field>) -> Self {
-        Backends {
+impl HttpUpstream {
+    /// Starts with no servers. The names and fields tell how to read load reports.
+    pub fn new(limits: Limits, names: Rc<Names>, fields: Vec<Field>) -> Rc<Self> {
+        Rc::new(HttpUpstream {
             slots: Arc::new(Semaphore::new(limits.connections)),
             limits,
             names,
             fields,
-            by_name: RefCell::default(),
-            by_id: RefCell::default(),
-            next_id: Cell::new(0),
-        }
+            servers: RefCell::default(),
+        })
     }
 
     /// The server with this id, if it is listed.
-    pub fn get(&self, id: ServerId) -> Option<Rc<Server>> {
-        self.by_id.borrow().get(&id).cloned()
-    }
-
-    /// The names that the settings give to classes, tenants and so on.
-    pub fn names(&self) -> &Names {
-        &self.names
-    }
-
-    // ---- the list ----
-    /// Brings the servers in line with a list and puts it in the balancer's terms.
-    pub fn take_list(&self, list: &ServerList) -> Vec<ServerEntry> {
-        let mut by_name = self.by_name.borrow_mut();
-        let mut by_id = self.by_id.borrow_mut();
-        if list.complete {
-            let named: rustc_hash::FxHashSet<&str> = list.members.iter().map(|m| m.id.as_str()).collect();
-            by_name.retain(|name, server| {
-                let stays = named.contains(name.as_str());
-                if !stays {
-                    server.state.set(ServerState::Gone);
-                    server.abandon_connections();
-                    by_id.remove(&server.id);
-                }
-                stays
-            });
-        }
-        let mut entries = Vec::with_capacity(list.members.len());
-        for member in &list.members {
-            let state = match member.phase {
-                Phase::Active => ServerState::Ready,
-                Phase::Leaving => ServerState::Draining,
-                Phase::Left => ServerState::Gone,
-            };
-            // Mapping a start by the clocks' present difference would make every list look like a restart;
-            // the balancer's clock counts in Unix time, so that no mapping is needed.
-            let started =
-                (member.up_since_ms > 0).then(|| Time(member.up_since_ms.saturating_mul(1_000_000)));
-            let server = match (by_name.get(&member.id), member.host_port) {
-                (Some(server), _) => server.clone(),
-                (None, Some(address)) if state != ServerState::Gone => {
-                    let id = ServerId(self.next_id.get());
-                    self.next_id.set(id.0.wrapping_add(1));
-                    let server = Rc::new(Server {
-                        id,
-                        name: member.id.clone(),
-                        address: Cell::new(address),
-                        state: Cell::new(state),
-                        started: Cell::new(started),
-                        generation: Cell::new(0),
-                        idle: RefCell::default(),
-                        place: Cell::default(),
-                    });
-                    by_name.insert(server.name.clone(), server.clone());
-                    by_id.insert(id, server.clone());
-                    server
-                }
-                _ => continue,
-            };
-            server.state.set(state);
-            if state == ServerState::Gone {
-                server.abandon_connections();
-                by_name.remove(&member.id);
-                by_id.remove(&server.id);
-            } else {
-                server.place.set((
-                    ZoneId(position(&self.names.zones, &member.locality)),
-                    KindId(position(&self.names.kinds, &member.flavor)),
-                    member.cell,
-                ));
-                let moved = member.host_port.is_some_and(|a| server.address.replace(a) != a);
-                // What was connected to the process before this one is dead, whether or not it says so.
-                let restarted = server.started.replace(started) != started;
-                // And what nothing new may go over is only in the way of others.
-                if restarted || moved || state == ServerState::Draining {
-                    server.abandon_connections();
-                }
-            }
-            let (zone, kind, cell) = server.place.get();
-            entries.push(ServerEntry {
-                server: server.id,
-                zone,
-                kind,
-                cell: finchvale::CellId(cell),
-                state,
-                weight: member.size,
-                started: server.started.get(),
-            });
-        }
-        entries
+    fn get(&self, id: ServerId) -> Option<Rc<Server>> {
+        self.servers.borrow().get(&id).cloned()
     }
 
     // ---- connections ----
@@ -313,20 +204,20 @@
     }
 
     fn close_longest_idle(&self) {
-        let by_id = self.by_id.borrow();
+        let servers = self.servers.borrow();
         let idle = |s: &Rc<Server>| s.idle.borrow().first().map(|i| i.since);
-        if let Some((_, server)) = by_id.values().filter_map(|s| Some((idle(s)?, s))).min_by_key(|s| s.0) {
+        if let Some((_, server)) = servers.values().filter_map(|s| Some((idle(s)?, s))).min_by_key(|s| s.0) {
             server.idle.borrow_mut().remove(0);
         }
     }
 
     /// Takes back a connection after its answer has been read.
-    pub async fn give_back(&self, server: &Server, mut connection: Connection) {
+    async fn give_back(&self, server: &Server, mut connection: Connection) {
         let settled = matches!(timeout(SETTLE, connection.sender.ready()).await, Ok(Ok(())));
         if settled
             && connection.good()
             && connection.generation == server.generation.get()
-            && server.takes_new()
+            && server.takes_new.get()
         {
             server.idle.borrow_mut().push(Idle { connection, since: Instant::now() });
         }
@@ -337,62 +228,13 @@
         let mut every = tokio::time::interval((self.retire_after() / 8).max(Duration::from_millis(250)));
         loop {
             every.tick().await;
-            for server in self.by_id.borrow().values() {
+            for server in self.servers.borrow().values() {
                 server.idle.borrow_mut().retain(|i| i.since.elapsed() < self.retire_after());
             }
         }
     }
 
     // ---- attempts and probes ----
-    /// Sends one request, before `send_by` if that is given, and reads its answer, until `until` at the latest. Never
-    /// sends it again.
-    pub async fn attempt(
-        &self,
-        server: &Server,
-        mut request: Request<Full<Bytes>>,
-        send_by: Option<Instant>,
-        until: Instant,
-    ) -> Exchange {
-        let sent = Cell::new(false);
-        let exchange = async {
-            let connection = match self.checkout(server).await {
-                Ok(connection) => connection,
-                Err(outcome) => return Exchange::failed(outcome),
-            };
-            // Connecting took time, in which word may have come that the server drains: it gets nothing new. Or the
-            // time may have passed for which duplicates are dropped.
-            if !server.takes_new() || send_by.is_some_and(|by| Instant::now() >= by) {
-                self.give_back(server, connection).await;
-                return Exchange::failed(Outcome::NotSent);
-            }
-            let left = until.saturating_duration_since(Instant::now());
-            let left = HeaderValue::from_str(&format!("{}u", left.as_micros()));
-            request.headers_mut().insert("x-timeout", left.expect("digits are valid in a header"));
-            sent.set(true);
-            self.exchange(connection, request, true).await
-        };
-        match timeout_at(until, exchange).await {
-            Ok(exchange) => exchange,
-            Err(_) if sent.get() => Exchange::failed(Outcome::TimedOut),
-            // It was still connecting: nothing of it can have run.
-            Err(_) => Exchange::failed(Outcome::Unreachable),
-        }
-    }
-
-    /// Asks a server for its load.
-    pub async fn probe(&self, server: &Server, limit: Duration) -> Exchange {
-        let exchange = async {
-            let connection = match self.checkout(server).await {
-                Ok(connection) => connection,
-                Err(outcome) => return Exchange::failed(outcome),
-            };
-            let request = Request::get("/stats").header("host", server.address.get().to_string());
-            let request = request.body(Full::default()).expect("a fixed path and an address are valid");
-            self.exchange(connection, request, false).await
-        };
-        timeout(limit, exchange).await.unwrap_or_else(|_| Exchange::failed(Outcome::TimedOut))
-    }
-
     async fn exchange(
         &self,
         mut connection: Connection,
@@ -402,13 +244,13 @@
         let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
             // Handed back unsent. Anything else may have reached the server, and may have run there.
-            Err(error) if error.message().is_some() => return Exchange::failed(Outcome::Unreachable),
-            Err(_) => return Exchange::failed(Outcome::Broken),
+            Err(error) if error.message().is_some() => return failed(Outcome::Unreachable),
+            Err(_) => return failed(Outcome::Broken),
         };
         let (head, body) = response.into_parts();
         let body = match Limited::new(body, MOST_BODY as usize).collect().await {
             Ok(body) => body.to_bytes(),
-            Err(_) => return Exchange::failed(Outcome::Broken),
+            Err(_) => return failed(Outcome::Broken),
         };
         let outcome = outcome(head.status, &head.headers);
         let served = outcome == Outcome::Served;
@@ -418,7 +260,7 @@
             false => None,
         };
         let answer = (attempt && served).then(|| Response::from_parts(head, body));
-        Exchange { outcome, report, answer, connection: Some(connection) }
+        (Ended { outcome, report, answer }, Some(connection))
     }
 
     /// Reads a load report by the names of its fields; without any of them it is none.
@@ -430,8 +272,76 @@
     }
 }
 
+impl Upstream for HttpUpstream {
+    type Request = Request<Bytes>;
+    type Answer = Response<Bytes>;
+
+    fn learn(&self, targets: &[Target]) {
+        let mut servers = self.servers.borrow_mut();
+        for target in targets {
+            if target.state == ServerState::Gone {
+                if let Some(server) = servers.remove(&target.server) {
+                    server.takes_new.set(false);
+                    server.abandon_connections();
+                }
+                continue;
+            }
+            let server = servers.entry(target.server).or_insert_with(|| {
+                Rc::new(Server {
+                    address: Cell::new(target.address),
+                    takes_new: Cell::new(true),
+                    generation: Cell::new(0),
+                    idle: RefCell::default(),
+                })
+            });
+            server.address.set(target.address);
+            server.takes_new.set(target.state == ServerState::Ready);
+            if target.renewed {
+                server.abandon_connections();
+            }
+        }
+    }
+
+    async fn attempt(self: Rc<Self>, server: ServerId, request: Rc<Request<Bytes>>, ticket: Ticket<Self>) {
+        let Some(server) = self.get(server) else { return ticket.end(Ended::bare(Outcome::NotSent)) };
+        let connection = match self.checkout(&server).await {
+            Ok(connection) => connection,
+            Err(outcome) => return ticket.end(Ended::bare(outcome)),
+        };
+        // Connecting took time, in which word may have come that the server drains, or the time may have passed for
+        // which duplicates are dropped.
+        let Clearance::Go(left) = ticket.clear() else {
+            ticket.end(Ended::bare(Outcome::NotSent));
+            return self.give_back(&server, connection).await;
+        };
+        let mut request = Request::clone(&request).map(Full::new);
+        let left = HeaderValue::from_str(&format!("{}u", left.as_micros()));
+        request.headers_mut().insert("x-timeout", left.expect("digits are valid in a header"));
+        let (ended, connection) = self.exchange(connection, request, true).await;
+        ticket.end(ended);
+        if let Some(connection) = connection {
+            self.give_back(&server, connection).await;
+        }
+    }
+
+    async fn probe(self: Rc<Self>, server: ServerId, ticket: ProbeTicket<Self>) {
+        let Some(server) = self.get(server) else { return ticket.end(Outcome::NotSent, None) };
+        let connection = match self.checkout(&server).await {
+            Ok(connection) => connection,
+            Err(outcome) => return ticket.end(outcome, None),
+        };
+        let request = Request::get("/stats").header("host", server.address.get().to_string());
+        let request = request.body(Full::default()).expect("a fixed path and an address are valid");
+        let (ended, connection) = self.exchange(connection, request, false).await;
+        ticket.end(ended.outcome, ended.report);
+        if let Some(connection) = connection {
+            self.give_back(&server, connection).await;
+        }
+    }
+}
+
 /// Reads a load report field by field, with no map in between: one comes with every probe.
-struct ReportReader<'a>(&'a Backends);
+struct ReportReader<'a>(&'a HttpUpstream);
 
 impl<'de> DeserializeSeed<'de> for ReportReader<'_> {
     type Value = LoadReport;
@@ -483,8 +393,3 @@
     const EMFILE: i32 = 24;
     matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
 }
-
-/// Position of a name among those that the settings give; names they don't give share one of their own.
-fn position(names: &[String], name: &str) -> u8 {
-    names.iter().position(|n| n == name).and_then(|at| u8::try_from(at).ok()).unwrap_or(u8::MAX)
-}
--- a/drill/src/settings.rs
+++ b/crates/site/src/lib.rs
@@ -9,6 +9,9 @@
 //! `tiers`, `tick_ns`, `limits.max_open`, `limits.streams_per_conn`, `limits.cpu_*`, `limits.peer_messages`,
 //! `rules.answer_slack_ns` (answers are given by the deadline itself) and the report value `errors_per_s`.
 
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
 use finchvale::{Class, Effect, Group, KindId, LoadReport, Reports, Rules, Settings, Tenant, ZoneId};
 use serde::Deserialize;
 use std::time::Duration;
--- a/drill/tests/settings.rs
+++ b/crates/site/tests/names.rs
@@ -1,6 +1,6 @@
 //! The names that the settings give, by which messages refer to positions.
 
-use finchvale_drill::settings::{parse, Field};
+use birchswitch_site::{parse, Field};
 
 #[test]
 fn names_are_kept_in_the_order_of_the_settings() {
--- a/drill/src/host.rs
+++ b/drill/src/host.rs
@@ -1,7 +1,7 @@
 //! The table of instances: each event goes to its instance's balancer, its actions into the reply.
 
-use crate::settings::{self, ConfigError, Field};
 use crate::wire::{frame_length, Batch, Record, Reply, WireError, HEADER};
+use birchswitch_site::{self as site, ConfigError, Field};
 use finchvale::{Action, Balancer, SettingsError};
 use rustc_hash::FxHashMap;
 use std::io::{self, Read, Write};
@@ -77,8 +77,7 @@
                 }
                 Ok(Record::Init { seed, config }) => {
                     let id = current.ok_or(HostError::Nobody { at })?;
-                    let config =
-                        settings::parse(config).map_err(|source| HostError::Config { at, source })?;
+                    let config = site::parse(config).map_err(|source| HostError::Config { at, source })?;
                     let balancer = Balancer::new(config.settings, seed, batch.now)
                         .map_err(|source| HostError::Settings { at, source })?;
                     self.instances.insert(id, Instance { balancer, fields: config.fields });
--- a/drill/src/lib.rs
+++ b/drill/src/lib.rs
@@ -1,4 +1,4 @@
-//! The simulator's side of finchvale: frames, JSON settings and a table of instances.
+//! The simulator's side of finchvale: frames and a table of instances.
 //!
 //! Nothing here decides anything; each instance owns a [`finchvale::Balancer`] and shares nothing.
 
@@ -6,5 +6,4 @@
 #![deny(missing_docs)]
 
 pub mod host;
-pub mod settings;
 pub mod wire;
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -1,6 +1,6 @@
 //! The simulator's binary frames: big-endian records of fixed size and one shared tail.
 
-use crate::settings::Field;
+use birchswitch_site::Field;
 use finchvale::{
     Action, Arrival, CellId, ClassId, Ended, Event, KindId, ListKind, LoadReport, Outcome, Probed, RequestId,
     ServerEntry, ServerId, ServerState, TenantId, Time, TimerId, ZoneId,
--- a/drill/tests/wire.rs
+++ b/drill/tests/wire.rs
@@ -1,8 +1,8 @@
 //! The wire page's byte examples, malformed frames, and the table of instances.
 
+use birchswitch_site::{parse, Field};
 use finchvale::*;
 use finchvale_drill::host::{Host, HostError};
-use finchvale_drill::settings::{parse, Field};
 use finchvale_drill::wire::{Batch, Record, Reply, WireError, EVENT, HEADER};
 use std::io::Write;
 use std::process::{Command, Stdio};
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,7 +1,7 @@
 //! What a node is told at its start: the `GW_*` variables and the JSON file that one of them names.
 
-use crate::discovery::ServerList;
-use finchvale_drill::settings;
+use birchswitch_membership::list::ServerList;
+use birchswitch_site as settings;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -3,17 +3,12 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
-mod backend;
 mod config;
-mod discovery;
-mod engine;
-mod frontend;
-mod gate;
 
-use backend::Backends;
+use birchswitch_host::Host;
+use birchswitch_http::{Front, HttpUpstream, Limits, Phase};
+use birchswitch_membership::{Directory, Discovery, Told};
 use config::Config;
-use engine::Engine;
-use frontend::{Frontend, Phase};
 use std::error::Error;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -62,50 +57,85 @@
     // than the third that clients need for requests: the rest is for those that say nothing.
     let clients =
         ((config.sockets - RESERVED_SOCKETS) / 2).min(config.memory / 4 * 3 / REQUEST_MEMORY).max(1);
-    let limits = backend::Limits {
+    let limits = Limits {
         connections: config.sockets - RESERVED_SOCKETS - clients,
         connect_timeout: or(settings.connect_timeout, Duration::from_millis(250)),
         conn_idle: or(settings.conn_idle, Duration::from_secs(5)),
     };
-    let backends = Rc::new(Backends::new(limits, config.site.names, config.site.fields));
-    let engine = Engine::new(config.name, settings, config.seed, backends.clone(), config.discovery)?;
+    let names = Rc::new(config.site.names);
+    let upstream = HttpUpstream::new(limits, names.clone(), config.site.fields);
+    let asked = settings.list_on_request;
+    let directory = Directory::new(names.clone());
+    let host = Host::new(config.name, settings, config.seed, directory, upstream.clone())?;
     let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    engine.log(format_args!("listening on {}", listener.local_addr()?));
-    engine.known(config.known.as_ref());
-    engine.follow();
-    let reloading = engine.clone();
+    host.log(format_args!("listening on {}", listener.local_addr()?));
+    let revision = config.known.as_ref().map_or(0, |list| list.revision);
+    let telling = host.clone();
+    let discovery = Discovery::new(config.discovery, revision, move |told| match told {
+        Told::List(list) => telling.list(&list),
+        Told::Again(error, pause) => {
+            telling.log(format_args!("watch: {error}; again in {} ms", pause.as_millis()));
+        }
+        Told::Failed(error) => {
+            telling.log(format_args!("watch: {error}"));
+            telling.watch_failed();
+        }
+    });
+    // Where lists come only when asked for, the decisions say when.
+    let watch = {
+        let discovery = discovery.clone();
+        move || if asked { discovery.watch_once() } else { discovery.follow() }
+    };
+    host.on_watch(watch.clone());
+    host.known(config.known.as_ref());
+    if !asked {
+        watch();
+    }
+    let reloading = host.clone();
     spawn_local(async move {
         while hangup.recv().await.is_some() {
-            reload(&reloading);
+            if reload(&reloading, &discovery) {
+                watch();
+            }
         }
     });
-    spawn_local(async move { backends.retire_idle().await });
+    spawn_local(async move { upstream.retire_idle().await });
     let (phase, phases) = watch::channel(Phase::Serving);
-    let served = spawn_local(Frontend::new(engine.clone(), effects, clients as u32, phases).serve(listener));
+    let served =
+        spawn_local(Front::new(host.clone(), names, effects, clients as u32, phases).serve(listener));
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    engine.log(format_args!("leaving"));
+    host.log(format_args!("leaving"));
     phase.send_replace(Phase::Leaving);
     tokio::time::sleep(LEAVE).await;
     phase.send_replace(Phase::Closing);
     // What was taken last is due within the longest deadline.
     let _ = tokio::time::timeout(longest + LAST_WRITES, served).await;
-    engine.log(format_args!("left"));
+    host.log(format_args!("left"));
+    host.close();
     Ok(())
 }
 
 /// Reads the configuration again. The whole file is checked before anything of it is used: one that is bad changes
-/// nothing. What the file says prevails now over what the environment said at the start.
-fn reload(engine: &Engine) {
-    match Config::from_env() {
-        Ok(config) => {
-            engine.log(format_args!("configuration read again"));
-            config.discovery_in_file.into_iter().for_each(|address| engine.rediscover(address));
+/// nothing. What the file says prevails now over what the environment said at the start. True: discovery has moved, and
+/// wants a new watch.
+fn reload(host: &Host<HttpUpstream>, discovery: &Discovery) -> bool {
+    let config = match Config::from_env() {
+        Ok(config) => config,
+        Err(error) => {
+            host.log(format_args!("the configuration stays as it is: {error}"));
+            return false;
         }
-        Err(error) => engine.log(format_args!("the configuration stays as it is: {error}")),
+    };
+    host.log(format_args!("configuration read again"));
+    let Some(address) = config.discovery_in_file else { return false };
+    let moved = discovery.move_to(address);
+    if moved {
+        host.log(format_args!("discovery is now {address}"));
     }
+    moved
 }
 
 fn or(figure: Duration, otherwise: Duration) -> Duration {
