--- /dev/null
+++ b/crates/thrift/src/write.rs
@@ -0,0 +1,291 @@
+//! Writes messages in both protocols, and the exceptions that a proxy answers with.
+
+use crate::read::COMPACT_ID;
+use crate::walk::Header;
+use crate::{Kind, MessageType, Protocol};
+
+/// Appends values to bytes.
+pub trait Writer {
+    /// A message's header. A `strict` one has its version word, where the protocol knows others.
+    fn header(&mut self, kind: MessageType, name: &str, seqid: i32, strict: bool);
+    /// A field's header, after one of id `last`. A bool's value goes with it; returns whether it is written by that.
+    fn field(&mut self, kind: Kind, id: i16, last: i16, value: Option<bool>) -> bool;
+    /// A struct's end.
+    fn stop(&mut self);
+    /// A list's or set's header.
+    fn list(&mut self, element: Kind, size: usize);
+    /// A map's header. Of an empty one types need not be known.
+    fn map(&mut self, types: Option<(Kind, Kind)>, size: usize);
+    /// A string.
+    fn binary(&mut self, bytes: &[u8]);
+    /// A bool as an element.
+    fn bool(&mut self, value: bool);
+    /// A byte.
+    fn i8(&mut self, value: i8);
+    /// A number.
+    fn i16(&mut self, value: i16);
+    /// A number.
+    fn i32(&mut self, value: i32);
+    /// A number.
+    fn i64(&mut self, value: i64);
+    /// A number.
+    fn double(&mut self, value: f64);
+    /// Sixteen bytes as they are.
+    fn uuid(&mut self, value: &[u8]);
+}
+
+/// The binary protocol's writer.
+pub struct Binary<'a>(pub &'a mut Vec<u8>);
+
+impl Binary<'_> {
+    fn kind(kind: Kind) -> u8 {
+        match kind {
+            Kind::Bool => 2,
+            Kind::I8 => 3,
+            Kind::Double => 4,
+            Kind::I16 => 6,
+            Kind::I32 => 8,
+            Kind::I64 => 10,
+            Kind::Binary => 11,
+            Kind::Struct => 12,
+            Kind::Map => 13,
+            Kind::Set => 14,
+            Kind::List => 15,
+            Kind::Uuid => 16,
+        }
+    }
+
+    fn size(&mut self, size: usize) {
+        // Sizes come from what was read under limits, or from short texts.
+        self.i32(i32::try_from(size).unwrap_or(i32::MAX));
+    }
+}
+
+impl Writer for Binary<'_> {
+    fn header(&mut self, kind: MessageType, name: &str, seqid: i32, strict: bool) {
+        if strict {
+            self.0.extend_from_slice(&[0x80, 0x01, 0, kind as u8]);
+            self.binary(name.as_bytes());
+        } else {
+            self.binary(name.as_bytes());
+            self.0.push(kind as u8);
+        }
+        self.i32(seqid);
+    }
+
+    fn field(&mut self, kind: Kind, id: i16, _: i16, _: Option<bool>) -> bool {
+        self.0.push(Self::kind(kind));
+        self.i16(id);
+        false
+    }
+
+    fn stop(&mut self) {
+        self.0.push(0);
+    }
+
+    fn list(&mut self, element: Kind, size: usize) {
+        self.0.push(Self::kind(element));
+        self.size(size);
+    }
+
+    fn map(&mut self, types: Option<(Kind, Kind)>, size: usize) {
+        let types = types.map_or([0, 0], |(key, value)| [Self::kind(key), Self::kind(value)]);
+        self.0.extend_from_slice(&types);
+        self.size(size);
+    }
+
+    fn binary(&mut self, bytes: &[u8]) {
+        self.size(bytes.len());
+        self.0.extend_from_slice(bytes);
+    }
+
+    fn bool(&mut self, value: bool) {
+        self.0.push(value.into());
+    }
+
+    fn i8(&mut self, value: i8) {
+        self.0.push(value as u8);
+    }
+
+    fn i16(&mut self, value: i16) {
+        self.0.extend_from_slice(&value.to_be_bytes());
+    }
+
+    fn i32(&mut self, value: i32) {
+        self.0.extend_from_slice(&value.to_be_bytes());
+    }
+
+    fn i64(&mut self, value: i64) {
+        self.0.extend_from_slice(&value.to_be_bytes());
+    }
+
+    fn double(&mut self, value: f64) {
+        self.0.extend_from_slice(&value.to_be_bytes());
+    }
+
+    fn uuid(&mut self, value: &[u8]) {
+        self.0.extend_from_slice(value);
+    }
+}
+
+/// The compact protocol's writer.
+pub struct Compact<'a>(pub &'a mut Vec<u8>);
+
+impl Compact<'_> {
+    fn kind(kind: Kind) -> u8 {
+        match kind {
+            Kind::Bool => 1,
+            Kind::I8 => 3,
+            Kind::I16 => 4,
+            Kind::I32 => 5,
+            Kind::I64 => 6,
+            Kind::Double => 7,
+            Kind::Binary => 8,
+            Kind::List => 9,
+            Kind::Set => 10,
+            Kind::Map => 11,
+            Kind::Struct => 12,
+            Kind::Uuid => 13,
+        }
+    }
+
+    fn varint(&mut self, mut value: u64) {
+        while value >= 0x80 {
+            self.0.push(value as u8 | 0x80);
+            value >>= 7;
+        }
+        self.0.push(value as u8);
+    }
+
+    fn zigzag(&mut self, value: i64) {
+        self.varint(((value << 1) ^ (value >> 63)) as u64);
+    }
+}
+
+impl Writer for Compact<'_> {
+    fn header(&mut self, kind: MessageType, name: &str, seqid: i32, _: bool) {
+        self.0.extend_from_slice(&[COMPACT_ID, (kind as u8) << 5 | 1]);
+        self.varint(u64::from(seqid as u32));
+        self.binary(name.as_bytes());
+    }
+
+    fn field(&mut self, kind: Kind, id: i16, last: i16, value: Option<bool>) -> bool {
+        let number = if value == Some(false) { 2 } else { Self::kind(kind) };
+        match i32::from(id) - i32::from(last) {
+            delta @ 1..=15 => self.0.push((delta as u8) << 4 | number),
+            _ => {
+                self.0.push(number);
+                self.zigzag(id.into());
+            }
+        }
+        kind == Kind::Bool
+    }
+
+    fn stop(&mut self) {
+        self.0.push(0);
+    }
+
+    fn list(&mut self, element: Kind, size: usize) {
+        match size {
+            0..=14 => self.0.push((size as u8) << 4 | Self::kind(element)),
+            _ => {
+                self.0.push(0xf0 | Self::kind(element));
+                self.varint(size as u64);
+            }
+        }
+    }
+
+    fn map(&mut self, types: Option<(Kind, Kind)>, size: usize) {
+        self.varint(size as u64);
+        if let Some((key, value)) = types.filter(|_| size > 0) {
+            self.0.push(Self::kind(key) << 4 | Self::kind(value));
+        }
+    }
+
+    fn binary(&mut self, bytes: &[u8]) {
+        self.varint(bytes.len() as u64);
+        self.0.extend_from_slice(bytes);
+    }
+
+    fn bool(&mut self, value: bool) {
+        self.0.push(if value { 1 } else { 2 });
+    }
+
+    fn i8(&mut self, value: i8) {
+        self.0.push(value as u8);
+    }
+
+    fn i16(&mut self, value: i16) {
+        self.zigzag(value.into());
+    }
+
+    fn i32(&mut self, value: i32) {
+        self.zigzag(value.into());
+    }
+
+    fn i64(&mut self, value: i64) {
+        self.zigzag(value);
+    }
+
+    fn double(&mut self, value: f64) {
+        self.0.extend_from_slice(&value.to_le_bytes());
+    }
+
+    fn uuid(&mut self, value: &[u8]) {
+        self.0.extend_from_slice(value);
+    }
+}
+
+/// What a `TApplicationException` says of a call. The numbers are Thrift's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ExceptionType {
+    /// None of the others.
+    Unknown = 0,
+    /// Nobody knows the method.
+    UnknownMethod = 1,
+    /// A message of another type was wanted.
+    InvalidMessageType = 2,
+    /// A reply of another method.
+    WrongMethodName = 3,
+    /// A reply to another call.
+    BadSequenceId = 4,
+    /// A reply without a result.
+    MissingResult = 5,
+    /// The server went wrong.
+    InternalError = 6,
+    /// The message can't be read.
+    ProtocolError = 7,
+    /// The transform is not known.
+    InvalidTransform = 8,
+    /// The protocol is not known.
+    InvalidProtocol = 9,
+    /// The client's type is not supported.
+    UnsupportedClientType = 10,
+}
+
+/// Appends a `TApplicationException` in answer to a call.
+pub fn exception(out: &mut Vec<u8>, protocol: Protocol, call: &Header, kind: ExceptionType, text: &str) {
+    fn write(writer: &mut impl Writer, call: &Header, kind: ExceptionType, text: &str) {
+        writer.header(MessageType::Exception, call.name, call.seqid, call.strict);
+        writer.field(Kind::Binary, 1, 0, None);
+        writer.binary(text.as_bytes());
+        writer.field(Kind::I32, 2, 1, None);
+        writer.i32(kind as i32);
+        writer.stop();
+    }
+    match protocol {
+        Protocol::Binary => write(&mut Binary(out), call, kind, text),
+        Protocol::Compact => write(&mut Compact(out), call, kind, text),
+    }
+}
+
+/// Appends a message under another sequence id, byte for byte the same otherwise.
+pub fn with_seqid(out: &mut Vec<u8>, protocol: Protocol, message: &[u8], header: &Header, seqid: i32) {
+    let (from, to) = header.seqid_at;
+    out.extend_from_slice(&message[..from]);
+    match protocol {
+        Protocol::Binary => Binary(out).i32(seqid),
+        Protocol::Compact => Compact(out).varint(u64::from(seqid as u32)),
+    }
+    out.extend_from_slice(&message[to..]);
+}
