Thrift codec: errors small enough to pass in registers, no allocation for a few values

The walker's results carried 56 bytes of error, and each walk allocated for its values. Sizes and limits are 32 bits now, values are kept in place up to six.

--- a/crates/thrift/src/error.rs
+++ b/crates/thrift/src/error.rs
@@ -1,5 +1,7 @@
 //! What can be wrong with bytes.
 
+use std::fmt;
+
 /// What is wrong, and where: the offset of the value at fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("at byte {offset}: {problem}")]
@@ -10,6 +12,29 @@
     pub problem: Problem,
 }
 
+/// What has a size. Kept small, as all errors here: they are part of every result on the way through a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(missing_docs)]
+pub enum What {
+    Name,
+    String,
+    Container,
+    Message,
+    Frame,
+}
+
+impl fmt::Display for What {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            What::Name => "a name",
+            What::String => "a string",
+            What::Container => "a container",
+            What::Message => "a message",
+            What::Frame => "a frame",
+        })
+    }
+}
+
 /// What is wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Problem {
@@ -35,11 +60,11 @@
     #[error("{what} of {size}, and {limit} is the most")]
     TooLarge {
         /// Of what.
-        what: &'static str,
+        what: What,
         /// As claimed.
-        size: u64,
+        size: u32,
         /// As allowed.
-        limit: usize,
+        limit: u32,
     },
     /// A varint that doesn't end, or holds more than its type does.
     #[error("a varint without end")]
--- a/crates/thrift/src/frame.rs
+++ b/crates/thrift/src/frame.rs
@@ -1,6 +1,6 @@
 //! Frames: a length of four bytes, big-endian, before each message.
 
-use crate::{Error, Limits, Problem};
+use crate::{Error, Limits, Problem, What};
 
 /// Bytes of a frame's length.
 pub const HEAD: usize = 4;
@@ -15,7 +15,7 @@
     let problem = match usize::try_from(length) {
         Err(_) => Problem::Negative(length),
         Ok(0) => Problem::NoHeader,
-        Ok(n) if n > limit => Problem::TooLarge { what: "a frame", size: n as u64, limit },
+        Ok(n) if n > limit => Problem::TooLarge { what: What::Frame, size: n as u32, limit: limit as u32 },
         Ok(n) => return Ok(Some(n)),
     };
     Err(Error { offset, problem })
--- a/crates/thrift/src/lib.rs
+++ b/crates/thrift/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod walk;
 pub mod write;
 
-pub use error::{Error, Problem};
+pub use error::{Error, Problem, What};
 
 /// The two encodings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/thrift/src/read.rs
+++ b/crates/thrift/src/read.rs
@@ -1,6 +1,6 @@
 //! Cursors over both protocols, with one face.
 
-use crate::{Error, Kind, Limits, MessageType, Problem};
+use crate::{Error, Kind, Limits, MessageType, Problem, What};
 
 /// A message's header, as read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,11 +105,11 @@
     }
 
     #[inline(always)]
-    fn checked(&self, at: usize, what: &'static str, size: u64, limit: usize) -> Result<usize, Error> {
-        match usize::try_from(size).ok().filter(|s| *s <= limit) {
-            Some(size) => Ok(size),
-            None => self.error(at, Problem::TooLarge { what, size, limit }),
+    fn checked(&self, at: usize, what: What, size: u32, limit: usize) -> Result<usize, Error> {
+        if size as usize <= limit {
+            return Ok(size as usize);
         }
+        self.error(at, Problem::TooLarge { what, size, limit: limit as u32 })
     }
 
     fn name(&mut self, at: usize, length: usize) -> Result<&'a str, Error> {
@@ -169,10 +169,10 @@
     }
 
     #[inline(always)]
-    fn size(&mut self, what: &'static str, limit: usize) -> Result<usize, Error> {
+    fn size(&mut self, what: What, limit: usize) -> Result<usize, Error> {
         let at = self.0.at;
         let size = self.i32()?;
-        match u64::try_from(size) {
+        match u32::try_from(size) {
             Ok(size) => self.0.checked(at, what, size, limit),
             Err(_) => self.0.error(at, Problem::Negative(size)),
         }
@@ -199,13 +199,13 @@
                 return self.0.error(at, Problem::Version(version));
             }
             let kind = MessageType::read(first[3]).or_else(|p| self.0.error(at + 3, p))?;
-            let length = self.size("a name", limit)?;
+            let length = self.size(What::Name, limit)?;
             let name = self.0.name(at + 8, length)?;
             let seqid_at = (self.0.at, self.0.at + 4);
             let seqid = self.i32()?;
             return Ok(RawHeader { kind, name, seqid, strict: true, seqid_at });
         }
-        let length = self.0.checked(at, "a name", u64::from(u32::from_be_bytes(first)), limit)?;
+        let length = self.0.checked(at, What::Name, u32::from_be_bytes(first), limit)?;
         if length == 0 {
             return self.0.error(at, Problem::NoHeader);
         }
@@ -240,7 +240,7 @@
         let at = self.0.at;
         let number = self.0.byte()?;
         let limit = self.0.limits.elements;
-        let size = self.size("a container", limit)?;
+        let size = self.size(What::Container, limit)?;
         // An empty one may name no type.
         let kind = if number == 0 && size == 0 { Kind::Bool } else { self.kind(at, number)? };
         Ok((kind, size))
@@ -250,7 +250,7 @@
         let at = self.0.at;
         let (key, value) = (self.0.byte()?, self.0.byte()?);
         let limit = self.0.limits.elements;
-        let size = self.size("a map", limit)?;
+        let size = self.size(What::Container, limit)?;
         if size == 0 && (key, value) == (0, 0) {
             return Ok((None, 0));
         }
@@ -260,7 +260,7 @@
     #[inline(always)]
     fn binary(&mut self) -> Result<&'a [u8], Error> {
         let limit = self.0.limits.string;
-        let length = self.size("a string", limit)?;
+        let length = self.size(What::String, limit)?;
         self.0.take(length)
     }
 
@@ -332,9 +332,9 @@
     }
 
     #[inline(always)]
-    fn size(&mut self, what: &'static str, limit: usize) -> Result<usize, Error> {
+    fn size(&mut self, what: What, limit: usize) -> Result<usize, Error> {
         let at = self.0.at;
-        let size = self.0.varint(32)?;
+        let size = self.0.varint(32)? as u32;
         self.0.checked(at, what, size, limit)
     }
 }
@@ -364,7 +364,7 @@
         let seqid = self.0.varint(32)? as u32 as i32;
         let seqid_at = (seqid_from, self.0.at);
         let limit = self.0.limits.name;
-        let length = self.size("a name", limit)?;
+        let length = self.size(What::Name, limit)?;
         let name_at = self.0.at;
         let name = self.0.name(name_at, length)?;
         Ok(RawHeader { kind, name, seqid, strict: true, seqid_at })
@@ -395,8 +395,8 @@
         let byte = self.0.byte()?;
         let limit = self.0.limits.elements;
         let size = match byte >> 4 {
-            15 => self.size("a container", limit)?,
-            size => self.0.checked(at, "a container", size.into(), limit)?,
+            15 => self.size(What::Container, limit)?,
+            size => self.0.checked(at, What::Container, size.into(), limit)?,
         };
         let number = byte & 0x0f;
         let kind = if number == 0 && size == 0 { Kind::Bool } else { self.kind(at, number)? };
@@ -405,7 +405,7 @@
 
     fn map(&mut self) -> Result<(Option<(Kind, Kind)>, usize), Error> {
         let limit = self.0.limits.elements;
-        let size = self.size("a map", limit)?;
+        let size = self.size(What::Container, limit)?;
         if size == 0 {
             return Ok((None, 0));
         }
@@ -417,7 +417,7 @@
     #[inline(always)]
     fn binary(&mut self) -> Result<&'a [u8], Error> {
         let limit = self.0.limits.string;
-        let length = self.size("a string", limit)?;
+        let length = self.size(What::String, limit)?;
         self.0.take(length)
     }
 
--- a/crates/thrift/src/walk.rs
+++ b/crates/thrift/src/walk.rs
@@ -1,7 +1,8 @@
 //! Finds a message's header, chosen fields and end in one pass, and skips everything else.
 
 use crate::read::{Binary, Compact, Cursor, Field, Reader};
-use crate::{Error, Kind, Limits, MessageType, Problem, Protocol};
+use crate::{Error, Kind, Limits, MessageType, Problem, Protocol, What};
+use smallvec::SmallVec;
 
 /// A message's header.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -117,13 +118,16 @@
     }
 }
 
+/// The values of [`Paths`], in their order; a handful needs no allocation.
+pub type Values<'a> = SmallVec<[Option<Value<'a>>; 6]>;
+
 /// A message that is whole.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Message<'a> {
     /// Its header.
     pub header: Header<'a>,
     /// The fields that were looked for; of one that comes twice the last, as decoders have it.
-    pub values: Vec<Option<Value<'a>>>,
+    pub values: Values<'a>,
     /// Where it ends.
     pub end: usize,
 }
@@ -152,10 +156,10 @@
         Protocol::Binary => Walker::new(Binary::new(cursor), paths).walk(paths),
         Protocol::Compact => Walker::new(Compact::new(cursor), paths).walk(paths),
     };
-    let (what, limit) = ("a message", limits.message);
+    let (what, limit) = (What::Message, limits.message as u32);
     match walked {
-        Err(e) if e.is_cut() && (too_long || bytes.len() == limit) => {
-            let size = bytes.len() as u64 + 1;
+        Err(e) if e.is_cut() && (too_long || bytes.len() == limits.message) => {
+            let size = limit.saturating_add(1);
             Err(Error { offset: 0, problem: Problem::TooLarge { what, size, limit } })
         }
         walked => walked,
@@ -190,13 +194,13 @@
 
 struct Walker<'a, R> {
     reader: R,
-    values: Vec<Option<Value<'a>>>,
+    values: Values<'a>,
     depth: u32,
 }
 
 impl<'a, R: Reader<'a>> Walker<'a, R> {
     fn new(reader: R, paths: &Paths) -> Self {
-        Walker { reader, values: vec![None; paths.count], depth: 0 }
+        Walker { reader, values: smallvec::smallvec![None; paths.count], depth: 0 }
     }
 
     fn walk(mut self, paths: &Paths) -> Result<Message<'a>, Error> {
