Thrift through the node: a front, the servers' side, the operator's file

Need: orders placed over Thrift bypassed the node and its rules.

crates/thrift-proxy takes framed and unframed binary and compact calls on listeners of the operator's file (GW_OPERATOR, off without it), has them decided by an engine of their own, and makes them on servers over pooled connections, transcoded where the dialects differ. Replies go out as they end, by sequence id; an open id, and what is behind a oneway, waits. Memory and pipelines are bounded by not reading. birchswitch check reads everything and starts nothing.

Tests, byte by byte: foreign, repeated, wrong and cut replies are never sent on; listed exceptions are; clients that leave, pipeline 10,000 calls, reuse ids or send rubbish; SIGTERM with a call in flight; bad files in one line.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -182,8 +182,13 @@
     /// Takes in what discovery says.
     pub fn list(&self, list: &ServerList) {
         let kind = if list.complete { ListKind::Full } else { ListKind::Changes };
+        let first = !self.ready();
         let entries = self.take(list);
+        let servers = entries.len();
         self.told(kind, entries);
+        if first && self.ready() {
+            self.log(format_args!("holds a list of {servers} servers"));
+        }
     }
 
     /// A watch that the decisions asked for came to nothing, or ended.
--- a/crates/standin/src/scripted/node.rs
+++ b/crates/standin/src/scripted/node.rs
@@ -27,7 +27,8 @@
     start_with(config, &[])
 }
 
-fn start_with(config: &str, variables: &[(&str, &str)]) -> (Child, ConfigFile) {
+/// The same with further variables.
+pub fn start_with(config: &str, variables: &[(&str, &str)]) -> (Child, ConfigFile) {
     let config = ConfigFile::new(config).expect("a configuration file");
     let binary = process::node_binary().expect("this program's path");
     (process::start(&binary, &config, variables).expect("a process"), config)
--- a/crates/standin/src/scripted/wire.rs
+++ b/crates/standin/src/scripted/wire.rs
@@ -92,6 +92,22 @@
         within("a message", self.read_message()).await
     }
 
+    /// Writes bytes as they are.
+    pub async fn write_bytes(&mut self, bytes: &[u8]) {
+        self.0.get_mut().write_all(bytes).await.expect("writing");
+    }
+
+    /// The content of the next frame with a length of four bytes before it; None if the connection ends first.
+    pub async fn frame(&mut self) -> Option<Vec<u8>> {
+        let read = async {
+            let length = self.0.read_u32().await.ok()?;
+            let mut content = vec![0; length as usize];
+            self.0.read_exact(&mut content).await.ok()?;
+            Some(content)
+        };
+        within("a frame", read).await
+    }
+
     /// The next line without its end; None if the connection ends first.
     pub async fn line(&mut self) -> Option<String> {
         let mut line = String::new();
--- /dev/null
+++ b/crates/thrift-proxy/src/upstream.rs
@@ -0,0 +1,373 @@
+//! The servers' side: connections to Thrift servers, one call at a time on each.
+
+use crate::messages::Messages;
+use crate::settings::Compiled;
+use birchswitch_engine::{Clearance, Ended};
+use birchswitch_host::{ProbeTicket, Ticket, Upstream};
+use birchswitch_membership::Target;
+use birchswitch_thrift::walk::{self, Header, Paths, Value};
+use birchswitch_thrift::write::{self, Writer};
+use birchswitch_thrift::{frame, transcode, Error, MessageType, Protocol};
+use bytes::Bytes;
+use finchvale::{LoadReport, Outcome, ServerId, ServerState};
+use rustc_hash::FxHashMap;
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{timeout, Instant};
+
+/// How often idle connections are looked at.
+const LOOK_AT_IDLE: Duration = Duration::from_millis(500);
+
+/// A call as a client wrote it.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The client's protocol.
+    pub protocol: Protocol,
+    /// The whole message, without its frame.
+    pub message: Bytes,
+    /// Nobody waits for a reply.
+    pub oneway: bool,
+}
+
+struct Server {
+    address: Cell<SocketAddr>,
+    takes_new: Cell<bool>,
+    /// Grows whenever the connections made so far are of no more use.
+    generation: Cell<u64>,
+    /// The most recently used one is last.
+    idle: RefCell<Vec<Idle>>,
+}
+
+impl Server {
+    fn abandon_connections(&self) {
+        self.generation.set(self.generation.get() + 1);
+        self.idle.borrow_mut().clear();
+    }
+}
+
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+struct Connection {
+    stream: TcpStream,
+    messages: Messages,
+    generation: u64,
+    _slot: OwnedSemaphorePermit,
+}
+
+impl Connection {
+    /// Whether it is open and empty, as far as the system knows by now.
+    fn good(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let quiet = SockRef::from(&self.stream).peek(&mut byte);
+        self.messages.is_empty() && quiet.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+/// All servers of a listener and the connections to them.
+pub struct ThriftUpstream {
+    settings: Rc<Compiled>,
+    connect_timeout: Duration,
+    /// After this a server closes an idle connection.
+    conn_idle: Duration,
+    slots: Arc<Semaphore>,
+    servers: RefCell<FxHashMap<ServerId, Rc<Server>>>,
+    next_seqid: Cell<i32>,
+}
+
+/// How a call over a connection came out.
+enum Exchanged {
+    /// A whole reply to this call.
+    Reply(Bytes),
+    /// The server took no more before the last byte was out.
+    Unsent,
+    /// After that, anything but a good reply.
+    Broken,
+}
+
+impl ThriftUpstream {
+    /// Starts with no servers.
+    pub fn new(settings: Rc<Compiled>, connect_timeout: Duration, conn_idle: Duration) -> Rc<Self> {
+        Rc::new(ThriftUpstream {
+            slots: Arc::new(Semaphore::new(settings.settings.servers.connections as usize)),
+            settings,
+            connect_timeout,
+            conn_idle,
+            servers: RefCell::default(),
+            next_seqid: Cell::new(1),
+        })
+    }
+
+    fn get(&self, id: ServerId) -> Option<Rc<Server>> {
+        self.servers.borrow().get(&id).cloned()
+    }
+
+    /// Well before the server closes it: a call that crosses the closing may be lost.
+    fn retire_after(&self) -> Duration {
+        self.conn_idle * 3 / 4
+    }
+
+    /// Closes connections that have been idle for long, and those that servers have closed, for good.
+    pub async fn retire_idle(&self) {
+        let mut every = tokio::time::interval(LOOK_AT_IDLE);
+        loop {
+            every.tick().await;
+            let fit = |i: &Idle| i.since.elapsed() < self.retire_after() && i.connection.good();
+            for server in self.servers.borrow().values() {
+                server.idle.borrow_mut().retain(fit);
+            }
+        }
+    }
+
+    fn slot(&self) -> Option<OwnedSemaphorePermit> {
+        let free = || self.slots.clone().try_acquire_owned().ok();
+        free().or_else(|| {
+            let servers = self.servers.borrow();
+            let idle = |s: &Rc<Server>| s.idle.borrow().first().map(|i| i.since);
+            let longest = servers.values().filter_map(|s| Some((idle(s)?, s))).min_by_key(|s| s.0);
+            longest.iter().for_each(|(_, server)| drop(server.idle.borrow_mut().remove(0)));
+            free()
+        })
+    }
+
+    async fn checkout(&self, server: &Server) -> Result<Connection, Outcome> {
+        loop {
+            let Some(idle) = server.idle.borrow_mut().pop() else { break };
+            if idle.since.elapsed() < self.retire_after() && idle.connection.good() {
+                return Ok(idle.connection);
+            }
+        }
+        let slot = self.slot().ok_or(Outcome::NotSent)?;
+        let generation = server.generation.get();
+        let connect = TcpStream::connect(server.address.get());
+        let stream = match timeout(self.connect_timeout, connect).await {
+            Ok(Ok(stream)) => stream,
+            // The node's own shortage says nothing of the server.
+            Ok(Err(error)) if matches!(error.raw_os_error(), Some(23 | 24)) => return Err(Outcome::NotSent),
+            _ => return Err(Outcome::Unreachable),
+        };
+        // What answers at the address that the server had is another's by now.
+        if generation != server.generation.get() {
+            return Err(Outcome::NotSent);
+        }
+        let _ = stream.set_nodelay(true);
+        let messages = Messages::new(Some(self.settings.servers), self.settings.limits);
+        Ok(Connection { stream, messages, generation, _slot: slot })
+    }
+
+    fn give_back(&self, server: &Server, connection: Connection) {
+        if connection.generation == server.generation.get() && server.takes_new.get() && connection.good() {
+            server.idle.borrow_mut().push(Idle { connection, since: Instant::now() });
+        }
+    }
+
+    /// One that no call on its connection has had lately: an old reply is not taken for a new one's.
+    fn seqid(&self) -> i32 {
+        self.next_seqid.replace(self.next_seqid.get().wrapping_add(1))
+    }
+
+    /// The call in the servers' dialect.
+    fn outgoing(&self, call: &Call, seqid: i32) -> Result<Vec<u8>, Error> {
+        let dialect = self.settings.servers;
+        let mut out = Vec::with_capacity(call.message.len() + 16);
+        if dialect.framed {
+            out.extend_from_slice(&[0; frame::HEAD]);
+        }
+        if call.protocol == dialect.protocol {
+            let header = walk::header(call.protocol, &call.message, &self.settings.limits)?;
+            write::with_seqid(&mut out, call.protocol, &call.message, &header, seqid);
+        } else {
+            transcode::message(&mut out, call.protocol, &call.message, seqid, true, &self.settings.limits)?;
+        }
+        if dialect.framed {
+            frame::seal(&mut out);
+        }
+        Ok(out)
+    }
+
+    async fn write(connection: &mut Connection, bytes: &[u8]) -> Result<(), usize> {
+        let mut written = 0;
+        while written < bytes.len() {
+            match connection.stream.write(&bytes[written..]).await {
+                Ok(n) if n > 0 => written += n,
+                _ => return Err(written),
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads the reply to the call of this id and method.
+    async fn read(&self, connection: &mut Connection, seqid: i32, method: &str) -> Exchanged {
+        loop {
+            match connection.messages.message() {
+                Ok(Some(reply)) => {
+                    let protocol = self.settings.servers.protocol;
+                    let nothing = Paths::default();
+                    let walked = walk::framed(protocol, &reply, &nothing, &self.settings.limits);
+                    let ours = |h: &Header| {
+                        let answers = matches!(h.kind, MessageType::Reply | MessageType::Exception);
+                        answers && h.seqid == seqid && h.name == method
+                    };
+                    // A second reply, or part of one: whose is it?
+                    let alone = connection.messages.is_empty();
+                    return match walked.is_ok_and(|m| ours(&m.header)) && alone {
+                        true => Exchanged::Reply(reply),
+                        false => Exchanged::Broken,
+                    };
+                }
+                Ok(None) => {}
+                Err(_) => return Exchanged::Broken,
+            }
+            if !matches!(connection.stream.read_buf(connection.messages.room()).await, Ok(n) if n > 0) {
+                return Exchanged::Broken;
+            }
+        }
+    }
+
+    /// What a reply comes to.
+    fn ended(&self, reply: Bytes) -> Ended<Bytes> {
+        let (protocol, limits) = (self.settings.servers.protocol, &self.settings.limits);
+        let Ok(header) = walk::header(protocol, &reply, limits) else { return Ended::bare(Outcome::Broken) };
+        if header.kind == MessageType::Exception {
+            let kind = Paths::new([[2i16]]);
+            let read = walk::message(protocol, &reply, &kind, limits);
+            let kind = read.ok().and_then(|m| m.values[0]?.integer());
+            let proof = |n: &crate::settings::ExceptionName| kind == Some(*n as i64);
+            let never_ran = self.settings.settings.servers.never_ran.iter().any(proof);
+            return Ended::bare(if never_ran { Outcome::TurnedAway } else { Outcome::Error });
+        }
+        let report = self.settings.report.as_ref().and_then(|paths| self.report(&reply, paths));
+        Ended { outcome: Outcome::Served, report, answer: Some(reply) }
+    }
+
+    fn report(&self, reply: &[u8], paths: &Paths) -> Option<LoadReport> {
+        let message =
+            walk::message(self.settings.servers.protocol, reply, paths, &self.settings.limits).ok()?;
+        let figure = |at: usize| {
+            let value: Option<Value> = message.values[at];
+            value.and_then(|v| v.number()).filter(|n| n.is_finite() && *n >= 0.0)
+        };
+        let report =
+            LoadReport { held: figure(0), waiting: figure(1), busy: figure(2), ..LoadReport::default() };
+        (report != LoadReport::default()).then_some(report)
+    }
+}
+
+impl Upstream for ThriftUpstream {
+    type Request = Call;
+    type Answer = Bytes;
+
+    fn learn(&self, targets: &[Target]) {
+        let mut servers = self.servers.borrow_mut();
+        for target in targets {
+            if target.state == ServerState::Gone {
+                if let Some(server) = servers.remove(&target.server) {
+                    server.takes_new.set(false);
+                    server.abandon_connections();
+                }
+                continue;
+            }
+            let server = servers.entry(target.server).or_insert_with(|| {
+                Rc::new(Server {
+                    address: Cell::new(target.address),
+                    takes_new: Cell::new(true),
+                    generation: Cell::new(0),
+                    idle: RefCell::default(),
+                })
+            });
+            server.address.set(target.address);
+            server.takes_new.set(target.state == ServerState::Ready);
+            if target.renewed {
+                server.abandon_connections();
+            }
+        }
+    }
+
+    async fn attempt(self: Rc<Self>, server: ServerId, call: Rc<Call>, ticket: Ticket<Self>) {
+        let Some(server) = self.get(server) else { return ticket.end(Ended::bare(Outcome::NotSent)) };
+        let mut connection = match self.checkout(&server).await {
+            Ok(connection) => connection,
+            Err(outcome) => return ticket.end(Ended::bare(outcome)),
+        };
+        let seqid = self.seqid();
+        // The front has walked over it: what can't be written here is no call.
+        let Ok(bytes) = self.outgoing(&call, seqid) else {
+            return ticket.end(Ended::bare(Outcome::NotSent));
+        };
+        if ticket.clear() == Clearance::Stop {
+            ticket.end(Ended::bare(Outcome::NotSent));
+            return self.give_back(&server, connection);
+        }
+        let exchanged = match Self::write(&mut connection, &bytes).await {
+            // A server begins with a call's last byte. Of a oneway nobody would ever hear that it began after all.
+            Err(written) if written == 0 || !call.oneway => Exchanged::Unsent,
+            Err(_) => Exchanged::Broken,
+            Ok(()) if call.oneway => {
+                ticket.end(Ended { outcome: Outcome::Served, report: None, answer: Some(Bytes::new()) });
+                return self.give_back(&server, connection);
+            }
+            Ok(()) => {
+                let header = walk::header(call.protocol, &call.message, &self.settings.limits);
+                let name = header.map_or("", |h| h.name);
+                let method = name.rsplit(':').next().unwrap_or(name);
+                self.read(&mut connection, seqid, method).await
+            }
+        };
+        match exchanged {
+            Exchanged::Reply(reply) => {
+                ticket.end(self.ended(reply));
+                self.give_back(&server, connection);
+            }
+            Exchanged::Unsent => ticket.end(Ended::bare(Outcome::Unreachable)),
+            Exchanged::Broken => ticket.end(Ended::bare(Outcome::Broken)),
+        }
+    }
+
+    async fn probe(self: Rc<Self>, server: ServerId, ticket: ProbeTicket<Self>) {
+        let Some((method, paths)) = &self.settings.load else { return ticket.end(Outcome::NotSent, None) };
+        let Some(server) = self.get(server) else { return ticket.end(Outcome::NotSent, None) };
+        let mut connection = match self.checkout(&server).await {
+            Ok(connection) => connection,
+            Err(outcome) => return ticket.end(outcome, None),
+        };
+        let seqid = self.seqid();
+        let dialect = self.settings.servers;
+        let mut bytes = vec![0; if dialect.framed { frame::HEAD } else { 0 }];
+        fn ask(writer: &mut impl Writer, method: &str, seqid: i32) {
+            writer.header(MessageType::Call, method, seqid, true);
+            writer.stop();
+        }
+        match dialect.protocol {
+            Protocol::Binary => ask(&mut write::Binary(&mut bytes), method, seqid),
+            Protocol::Compact => ask(&mut write::Compact(&mut bytes), method, seqid),
+        }
+        if dialect.framed {
+            frame::seal(&mut bytes);
+        }
+        if Self::write(&mut connection, &bytes).await.is_err() {
+            return ticket.end(Outcome::Unreachable, None);
+        }
+        let name = method.rsplit(':').next().unwrap_or(method);
+        match self.read(&mut connection, seqid, name).await {
+            Exchanged::Reply(reply) => {
+                let header = walk::header(dialect.protocol, &reply, &self.settings.limits);
+                let served = header.is_ok_and(|h| h.kind == MessageType::Reply);
+                let report = self.report(&reply, paths).filter(|_| served);
+                ticket.end(if served { Outcome::Served } else { Outcome::Error }, report);
+                self.give_back(&server, connection);
+            }
+            Exchanged::Unsent | Exchanged::Broken => ticket.end(Outcome::Broken, None),
+        }
+    }
+}
--- a/crates/thrift/src/write.rs
+++ b/crates/thrift/src/write.rs
@@ -266,7 +266,7 @@
 /// Appends a `TApplicationException` in answer to a call.
 pub fn exception(out: &mut Vec<u8>, protocol: Protocol, call: &Header, kind: ExceptionType, text: &str) {
     fn write(writer: &mut impl Writer, call: &Header, kind: ExceptionType, text: &str) {
-        writer.header(MessageType::Exception, call.name, call.seqid, call.strict);
+        writer.header(MessageType::Exception, call.service_and_method().1, call.seqid, call.strict);
         writer.field(Kind::Binary, 1, 0, None);
         writer.binary(text.as_bytes());
         writer.field(Kind::I32, 2, 1, None);
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,5 +1,6 @@
 //! What a node is told at its start: the `GW_*` variables and the JSON file that one of them names.
 
+use crate::operator::{Budget, Operator, OperatorError};
 use birchswitch_membership::list::ServerList;
 use birchswitch_site as settings;
 use serde::Deserialize;
@@ -44,6 +45,9 @@
         /// What makes no sense.
         source: finchvale::SettingsError,
     },
+    /// The operator's file is not what it should be.
+    #[error(transparent)]
+    Operator(#[from] OperatorError),
     /// A value that is given neither as a variable nor in the file.
     #[error("neither {variable} nor the configuration's `{key}` is given")]
     Missing {
@@ -84,6 +88,8 @@
     pub known: Option<ServerList>,
     /// The site's settings.
     pub site: settings::Config,
+    /// What the operator wants beside that.
+    pub operator: Operator,
 }
 
 #[derive(Deserialize)]
@@ -115,6 +121,8 @@
 
 /// Fewer descriptors than this leave no room to serve anyone.
 const LEAST_SOCKETS: usize = 64;
+/// Descriptors for all that is no client and no server: standard streams, listener, discovery, the runtime.
+pub const RESERVED_SOCKETS: usize = 32;
 
 impl Config {
     /// Reads the process's variables and the file that they name.
@@ -159,6 +167,12 @@
             let (value, wanted) = (sockets.to_string(), "at least 64");
             return Err(ConfigError::Senseless { what: "limits.sockets", value, wanted });
         }
+        let memory = file.limits.memory_mb.saturating_mul(1 << 20);
+        let budget = Budget { sockets: sockets - RESERVED_SOCKETS, memory };
+        let operator = match variable("GW_OPERATOR") {
+            Some(path) => Operator::read(&path, listen, &budget, &site.settings, &site.names)?,
+            None => Operator::default(),
+        };
         Ok(Config {
             name: variable("GW_NAME").unwrap_or(file.name),
             listen,
@@ -166,9 +180,10 @@
             discovery_in_file,
             seed,
             sockets,
-            memory: file.limits.memory_mb.saturating_mul(1 << 20),
+            memory,
             known: file.known,
             site,
+            operator,
         })
     }
 }
--- /dev/null
+++ b/node/src/lists.rs
@@ -0,0 +1,45 @@
+//! Lets a host follow a discovery.
+
+use birchswitch_host::{Host, Upstream};
+use birchswitch_membership::list::ServerList;
+use birchswitch_membership::{Discovery, Told};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Takes in what is known and follows discovery from there: on its own, or where lists come only when `asked` for, when the
+/// decisions say so.
+pub fn follow<U: Upstream>(
+    host: &Rc<Host<U>>,
+    address: SocketAddr,
+    known: Option<&ServerList>,
+    asked: bool,
+) -> Rc<Discovery> {
+    let telling = host.clone();
+    let revision = known.map_or(0, |list| list.revision);
+    let discovery = Discovery::new(address, revision, move |told| match told {
+        Told::List(list) => telling.list(&list),
+        Told::Again(error, pause) => {
+            telling.log(format_args!("watch: {error}; again in {} ms", pause.as_millis()));
+        }
+        Told::Failed(error) => {
+            telling.log(format_args!("watch: {error}"));
+            telling.watch_failed();
+        }
+    });
+    let watching = discovery.clone();
+    host.on_watch(move || watch(&watching, asked));
+    host.known(known);
+    if !asked {
+        discovery.follow();
+    }
+    discovery
+}
+
+/// Opens the watch anew.
+pub fn watch(discovery: &Rc<Discovery>, asked: bool) {
+    if asked {
+        discovery.watch_once();
+    } else {
+        discovery.follow();
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -4,11 +4,14 @@
 #![deny(missing_docs)]
 
 mod config;
+mod lists;
+mod operator;
+mod thrift;
 
 use birchswitch_host::Host;
 use birchswitch_http::{Front, HttpUpstream, Limits, Phase};
-use birchswitch_membership::{Directory, Discovery, Told};
-use config::Config;
+use birchswitch_membership::{Directory, Discovery};
+use config::{Config, RESERVED_SOCKETS};
 use std::error::Error;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -22,8 +25,6 @@
 const LEAVE: Duration = Duration::from_millis(500);
 /// Beyond the longest deadline, for the last answers to be written.
 const LAST_WRITES: Duration = Duration::from_millis(100);
-/// Descriptors for all that is no client and no backend: standard streams, listener, discovery, the runtime.
-const RESERVED_SOCKETS: usize = 32;
 /// Most that one request may hold: its body and answer, and the buffers of both connections. Measured with bodies of the
 /// largest kind at every place.
 const REQUEST_MEMORY: usize = 200 << 10;
@@ -31,8 +32,17 @@
 const BACKLOG: u32 = 1024;
 
 fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
     let run = || -> Result<(), Box<dyn Error>> {
         let config = Config::from_env()?;
+        match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+            [] => {}
+            ["check"] => {
+                println!("fine: {} Thrift listeners", config.operator.thrift.len());
+                return Ok(());
+            }
+            _ => return Err("wanted: no argument, or `check`".into()),
+        }
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         LocalSet::new().block_on(&runtime, run(config))
     };
@@ -53,12 +63,14 @@
     let settings = config.site.settings;
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let effects = settings.classes.iter().map(|c| c.effect).collect();
+    // What the operator's listeners may take is theirs.
+    let taken = config.operator.taken();
+    let (sockets, memory) = (config.sockets - taken.sockets, config.memory - taken.memory);
     // Three quarters of memory are for requests; clients and backends share what descriptors there are. That is more
     // than the third that clients need for requests: the rest is for those that say nothing.
-    let clients =
-        ((config.sockets - RESERVED_SOCKETS) / 2).min(config.memory / 4 * 3 / REQUEST_MEMORY).max(1);
+    let clients = ((sockets - RESERVED_SOCKETS) / 2).min(memory / 4 * 3 / REQUEST_MEMORY).max(1);
     let limits = Limits {
-        connections: config.sockets - RESERVED_SOCKETS - clients,
+        connections: sockets - RESERVED_SOCKETS - clients,
         connect_timeout: or(settings.connect_timeout, Duration::from_millis(250)),
         conn_idle: or(settings.conn_idle, Duration::from_secs(5)),
     };
@@ -66,43 +78,33 @@
     let upstream = HttpUpstream::new(limits, names.clone(), config.site.fields);
     let asked = settings.list_on_request;
     let directory = Directory::new(names.clone());
-    let host = Host::new(config.name, settings, config.seed, directory, upstream.clone())?;
+    let host = Host::new(config.name.clone(), settings.clone(), config.seed, directory, upstream.clone())?;
     let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     host.log(format_args!("listening on {}", listener.local_addr()?));
-    let revision = config.known.as_ref().map_or(0, |list| list.revision);
-    let telling = host.clone();
-    let discovery = Discovery::new(config.discovery, revision, move |told| match told {
-        Told::List(list) => telling.list(&list),
-        Told::Again(error, pause) => {
-            telling.log(format_args!("watch: {error}; again in {} ms", pause.as_millis()));
-        }
-        Told::Failed(error) => {
-            telling.log(format_args!("watch: {error}"));
-            telling.watch_failed();
-        }
-    });
-    // Where lists come only when asked for, the decisions say when.
-    let watch = {
-        let discovery = discovery.clone();
-        move || if asked { discovery.watch_once() } else { discovery.follow() }
-    };
-    host.on_watch(watch.clone());
-    host.known(config.known.as_ref());
-    if !asked {
-        watch();
-    }
+    let discovery = lists::follow(&host, config.discovery, config.known.as_ref(), asked);
     let reloading = host.clone();
     spawn_local(async move {
         while hangup.recv().await.is_some() {
             if reload(&reloading, &discovery) {
-                watch();
+                lists::watch(&discovery, asked);
             }
         }
     });
     spawn_local(async move { upstream.retire_idle().await });
+    let (close, closing) = watch::channel(false);
+    let shared = thrift::Shared {
+        name: &config.name,
+        site: &settings,
+        names: &names,
+        seed: config.seed,
+        closing: &closing,
+    };
+    let started = config.operator.thrift.into_iter().enumerate();
+    let started = started.map(|(n, compiled)| thrift::Running::start(compiled, n, &shared));
+    let mut listeners = started.collect::<Result<Vec<_>, _>>()?;
     let (phase, phases) = watch::channel(Phase::Serving);
     let served =
-        spawn_local(Front::new(host.clone(), names, effects, clients as u32, phases).serve(listener));
+        spawn_local(Front::new(host.clone(), names.clone(), effects, clients as u32, phases).serve(listener));
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -111,10 +113,18 @@
     phase.send_replace(Phase::Leaving);
     tokio::time::sleep(LEAVE).await;
     phase.send_replace(Phase::Closing);
+    close.send_replace(true);
     // What was taken last is due within the longest deadline.
-    let _ = tokio::time::timeout(longest + LAST_WRITES, served).await;
+    let ended = async {
+        let _ = served.await;
+        for listener in &mut listeners {
+            listener.ended().await;
+        }
+    };
+    let _ = tokio::time::timeout(longest + LAST_WRITES, ended).await;
     host.log(format_args!("left"));
     host.close();
+    listeners.iter().for_each(thrift::Running::close);
     Ok(())
 }
 
--- /dev/null
+++ b/node/tests/thrift.rs
@@ -0,0 +1,487 @@
+//! Thrift calls through a node, with clients and servers scripted byte by byte.
+
+use birchswitch_standin::scripted::*;
+use birchswitch_thrift::walk::{self, Paths, Value};
+use birchswitch_thrift::write::{self, ExceptionType, Writer};
+use birchswitch_thrift::{frame, Kind, Limits, MessageType, Protocol};
+use serde_json::json;
+use std::io::Write;
+use std::net::SocketAddr;
+
+/// A message whose struct holds one string in field 1, framed.
+fn message(protocol: Protocol, kind: MessageType, name: &str, seqid: i32, text: &str) -> Vec<u8> {
+    fn fill(writer: &mut impl Writer, kind: MessageType, name: &str, seqid: i32, text: &str) {
+        writer.header(kind, name, seqid, true);
+        writer.field(Kind::Binary, 1, 0, None);
+        writer.binary(text.as_bytes());
+        writer.stop();
+    }
+    let mut bytes = vec![0; frame::HEAD];
+    match protocol {
+        Protocol::Binary => fill(&mut write::Binary(&mut bytes), kind, name, seqid, text),
+        Protocol::Compact => fill(&mut write::Compact(&mut bytes), kind, name, seqid, text),
+    }
+    frame::seal(&mut bytes);
+    bytes
+}
+
+fn call(name: &str, seqid: i32, text: &str) -> Vec<u8> {
+    message(Protocol::Binary, MessageType::Call, name, seqid, text)
+}
+
+fn reply(name: &str, seqid: i32, text: &str) -> Vec<u8> {
+    message(Protocol::Binary, MessageType::Reply, name, seqid, text)
+}
+
+/// What a message says: its type, name, sequence id, and field 1 (a text) and 2 (a number).
+#[derive(Debug, PartialEq, Eq)]
+struct Said {
+    kind: MessageType,
+    name: String,
+    seqid: i32,
+    text: String,
+    number: Option<i64>,
+}
+
+fn said(bytes: &[u8]) -> Said {
+    let limits = Limits::default();
+    let protocol = if bytes[0] == 0x82 { Protocol::Compact } else { Protocol::Binary };
+    let paths = Paths::new([[1i16], [2]]);
+    let message = walk::framed(protocol, bytes, &paths, &limits).expect("a message");
+    let text = match message.values[0] {
+        Some(Value::Binary(text)) => String::from_utf8_lossy(text).into_owned(),
+        _ => String::new(),
+    };
+    let number = message.values[1].and_then(|v| v.integer());
+    let header = message.header;
+    Said { kind: header.kind, name: header.name.to_owned(), seqid: header.seqid, text, number }
+}
+
+async fn next(wire: &mut Wire) -> Said {
+    said(&wire.frame().await.expect("a message"))
+}
+
+/// A node with one Thrift listener.
+struct Shop {
+    node: Node,
+    address: SocketAddr,
+    _discoveries: (Peer, Watch, Peer, Watch),
+    _file: tempfile::NamedTempFile,
+}
+
+impl Shop {
+    async fn new(servers: &[(&str, &Peer)], extra: &str) -> Self {
+        let (http, thrift) = (Peer::new().await, Peer::new().await);
+        let mut file = tempfile::NamedTempFile::new().expect("a file");
+        let operator = format!(
+            "[[thrift]]
+             name = 'orders'
+             listen = '127.0.0.1:0'
+             tenant = 'one'
+             {extra}
+             [thrift.methods]
+             browse = {{ class = 'safe' }}
+             buy = {{ class = 'unsafe' }}
+             topup = {{ class = 'keyed', key = '1' }}
+             seen = {{ class = 'unsafe' }}
+             hurried = {{ class = 'unsafe', deadline_ms = '2' }}
+             [thrift.servers]
+             dialect = 'framed-binary'
+             discovery = '{}'
+             never_ran = ['unknown-method']",
+            thrift.address()
+        );
+        file.write_all(operator.as_bytes()).expect("a file");
+        let config = json!({
+            "name": "n", "listen": "127.0.0.1:0", "discovery": http.address().to_string(), "seed": "1f",
+            "limits": {"sockets": 1024, "memory_mb": 64}, "settings": settings(),
+        });
+        let path = file.path().to_str().expect("a path");
+        let mut node = Node::told(config, &[("GW_OPERATOR", path)]).await;
+        let line = node.logged("thrift orders: listening on ").await;
+        let address = line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+        let (http_watch, _) = http.watch().await;
+        let (mut watch, _) = thrift.watch().await;
+        let members: Vec<_> = servers.iter().map(|s| member(s.0, s.1.address(), "active")).collect();
+        watch.list(1, true, &members).await;
+        node.logged("thrift orders: holds a list").await;
+        Shop { node, address, _discoveries: (http, http_watch, thrift, watch), _file: file }
+    }
+
+    async fn client(&self) -> Wire {
+        Wire::connect(self.address).await
+    }
+}
+
+/// The server that is called, whichever it is, and the other one.
+async fn called<'a>(one: &'a Peer, two: &'a Peer) -> (Wire, &'a Peer) {
+    tokio::select! {
+        wire = one.accept() => (wire, two),
+        wire = two.accept() => (wire, one),
+    }
+}
+
+#[tokio::test]
+async fn a_call_and_its_reply_pass_unchanged_but_for_the_sequence_id() {
+    let server = Peer::new().await;
+    let shop = Shop::new(&[("s", &server)], "").await;
+    let mut client = shop.client().await;
+    for seqid in [7, -1, 7] {
+        client.write_bytes(&call("shop:buy", seqid, "gem é")).await;
+        let mut wire = server.accept().await;
+        let got = next(&mut wire).await;
+        assert_eq!(
+            (got.kind, got.name.as_str(), got.text.as_str()),
+            (MessageType::Call, "shop:buy", "gem é")
+        );
+        wire.write_bytes(&reply("buy", got.seqid, "done")).await;
+        let answer = next(&mut client).await;
+        let name = "buy".to_owned();
+        let wanted = Said { kind: MessageType::Reply, name, seqid, text: "done".into(), number: None };
+        assert_eq!(answer, wanted);
+        // One that the server has closed is not used again, and the node lets go of it.
+        wire.close().await;
+    }
+}
+
+/// Replies go out as they come, whatever the order of the calls.
+#[tokio::test]
+async fn several_calls_in_flight_are_answered_as_they_end() {
+    let server = Peer::new().await;
+    let shop = Shop::new(&[("s", &server)], "").await;
+    let mut client = shop.client().await;
+    let mut wires = Vec::new();
+    for seqid in 1..=3 {
+        client.write_bytes(&call("buy", seqid, &format!("order {seqid}"))).await;
+        let mut wire = server.accept().await;
+        let got = next(&mut wire).await;
+        wires.push((wire, got));
+    }
+    for (mut wire, got) in wires.into_iter().rev() {
+        wire.write_bytes(&reply("buy", got.seqid, &got.text)).await;
+        let answer = next(&mut client).await;
+        assert_eq!(answer.text, format!("order {}", answer.seqid));
+        assert_eq!(answer.text, got.text);
+    }
+}
+
+/// A oneway gets no bytes back, and what is behind it goes out only after it.
+#[tokio::test]
+async fn a_oneway_mixed_with_calls_keeps_its_place() {
+    let server = Peer::new().await;
+    let shop = Shop::new(&[("s", &server)], "").await;
+    let mut client = shop.client().await;
+    let compact = |kind, name, seqid, text| message(Protocol::Compact, kind, name, seqid, text);
+    let mut mix = compact(MessageType::Call, "buy", 1, "a");
+    mix.extend(compact(MessageType::Oneway, "seen", 0, "b"));
+    mix.extend(compact(MessageType::Call, "buy", 2, "c"));
+    client.write_bytes(&mix).await;
+    let mut first = server.accept().await;
+    let a = next(&mut first).await;
+    let mut second = server.accept().await;
+    let b = next(&mut second).await;
+    assert_eq!((b.kind, b.name.as_str(), b.text.as_str()), (MessageType::Oneway, "seen", "b"));
+    // Its connection is free again at once: nobody answers it.
+    let c = next(&mut second).await;
+    assert_eq!(c.text, "c");
+    second.write_bytes(&reply("buy", c.seqid, "c")).await;
+    assert_eq!(next(&mut client).await.seqid, 2);
+    first.write_bytes(&reply("buy", a.seqid, "a")).await;
+    assert_eq!(next(&mut client).await.seqid, 1);
+}
+
+/// What a server may have run is not sent to another, and the client is told that nobody knows.
+#[tokio::test]
+async fn replies_that_are_none_end_an_unsafe_call_as_failed() {
+    let (one, two) = (Peer::new().await, Peer::new().await);
+    let shop = Shop::new(&[("one", &one), ("two", &two)], "").await;
+    let mut client = shop.client().await;
+    type Answering = fn(i32) -> Vec<u8>;
+    let cases: [(&str, Answering); 7] = [
+        ("a foreign sequence id", |seqid| reply("buy", seqid + 1, "x")),
+        ("another method", |seqid| reply("topup", seqid, "x")),
+        ("a call", |seqid| call("buy", seqid, "x")),
+        ("two replies", |seqid| [reply("buy", seqid, "x"), reply("buy", seqid, "y")].concat()),
+        ("a length below zero", |_| vec![0xff; 8]),
+        ("a length that is too short", |seqid| {
+            let mut bytes = reply("buy", seqid, "x");
+            bytes[3] -= 3;
+            bytes
+        }),
+        ("an exception that proves nothing", |seqid| {
+            message(Protocol::Binary, MessageType::Exception, "buy", seqid, "oops")
+        }),
+    ];
+    for (seqid, (what, answering)) in (1..).zip(cases) {
+        client.write_bytes(&call("buy", seqid, "order")).await;
+        let (mut wire, other) = called(&one, &two).await;
+        let got = next(&mut wire).await;
+        wire.write_bytes(&answering(got.seqid)).await;
+        let answer = next(&mut client).await;
+        assert_eq!((answer.kind, answer.seqid), (MessageType::Exception, seqid), "{what}");
+        assert_eq!(answer.number, Some(ExceptionType::InternalError as i64), "{what}: {answer:?}");
+        assert!(answer.text.starts_with("failed: "), "{what}: {answer:?}");
+        assert!(other.untouched().await, "{what}: sent again");
+        if !what.contains("exception") {
+            wire.ended().await; // Nothing more is sent over it.
+        }
+    }
+}
+
+/// A frame cut short by a server that freezes: the client's time runs out, and the call goes nowhere else.
+#[tokio::test]
+async fn a_frame_that_stops_half_way_times_out() {
+    let (one, two) = (Peer::new().await, Peer::new().await);
+    let shop = Shop::new(&[("one", &one), ("two", &two)], "").await;
+    let mut client = shop.client().await;
+    let mut hurried = vec![0; frame::HEAD];
+    let mut writer = write::Binary(&mut hurried);
+    writer.header(MessageType::Call, "hurried", 5, true);
+    writer.field(Kind::I32, 2, 0, None);
+    writer.i32(300);
+    writer.stop();
+    frame::seal(&mut hurried);
+    client.write_bytes(&hurried).await;
+    let (mut wire, other) = called(&one, &two).await;
+    let got = next(&mut wire).await;
+    let whole = reply("hurried", got.seqid, "done");
+    wire.write_bytes(&whole[..whole.len() - 3]).await;
+    let answer = next(&mut client).await;
+    assert_eq!((answer.seqid, answer.number), (5, Some(ExceptionType::Unknown as i64)));
+    assert!(answer.text.starts_with("timed out: "), "{answer:?}");
+    assert!(other.untouched().await, "sent again");
+    wire.closed().await;
+}
+
+/// An exception that the operator lists proves that nothing ran: even an unsafe call goes on to another server.
+#[tokio::test]
+async fn a_listed_exception_sends_the_call_on() {
+    let (one, two) = (Peer::new().await, Peer::new().await);
+    let shop = Shop::new(&[("one", &one), ("two", &two)], "").await;
+    let mut client = shop.client().await;
+    client.write_bytes(&call("buy", 1, "order")).await;
+    let (mut wire, other) = called(&one, &two).await;
+    let got = next(&mut wire).await;
+    let limits = Limits::default();
+    let bytes = call("buy", got.seqid, "order");
+    let header = walk::header(Protocol::Binary, &bytes[frame::HEAD..], &limits).expect("a header");
+    let mut refusal = vec![0; frame::HEAD];
+    write::exception(&mut refusal, Protocol::Binary, &header, ExceptionType::UnknownMethod, "who?");
+    frame::seal(&mut refusal);
+    wire.write_bytes(&refusal).await;
+    let mut second = other.accept().await;
+    let again = next(&mut second).await;
+    assert_eq!(again.text, "order");
+    second.write_bytes(&reply("buy", again.seqid, "done")).await;
+    assert_eq!(next(&mut client).await.text, "done");
+}
+
+/// A refusal says that nothing ran and how long to wait.
+#[tokio::test]
+async fn a_refusal_says_how_long_to_wait() {
+    let server = Peer::new().await;
+    let shop = Shop::new(&[("s", &server)], "").await;
+    drop(server);
+    let mut client = shop.client().await;
+    client.write_bytes(&call("buy", 9, "order")).await;
+    let answer = next(&mut client).await;
+    assert_eq!((answer.seqid, answer.number), (9, Some(ExceptionType::MissingResult as i64)));
+    assert!(answer.text.starts_with("refused: ") && answer.text.ends_with("in 1.500 s"), "{answer:?}");
+}
+
+/// Two calls under one sequence id are answered one after the other: nobody could tell their replies apart.
+#[tokio::test]
+async fn a_sequence_id_that_is_open_waits() {
+    let server = Peer::new().await;
+    let shop = Shop::new(&[("s", &server)], "").await;
+    let mut client = shop.client().await;
+    client.write_bytes(&[call("buy", 4, "first"), call("buy", 4, "second")].concat()).await;
+    let mut wire = server.accept().await;
+    let first = next(&mut wire).await;
+    assert_eq!(first.text, "first");
+    assert!(server.untouched().await, "the second went out beside the first");
+    wire.write_bytes(&reply("buy", first.seqid, "first")).await;
+    assert_eq!(next(&mut client).await.text, "first");
+    let second = next(&mut wire).await;
+    assert_eq!(second.text, "second");
+    wire.write_bytes(&reply("buy", second.seqid, "second")).await;
+    assert_eq!(next(&mut client).await.text, "second");
+}
+
+/// The calls of a client that is gone are given up, with their connections; the next client is served.
+#[tokio::test]
+async fn a_client_that_leaves_takes_its_calls_along() {
+    let server = Peer::new().await;
+    let shop = Shop::new(&[("s", &server)], "").await;
+    let mut client = shop.client().await;
+    let mut wires = Vec::new();
+    for seqid in 1..=3 {
+        client.write_bytes(&call("browse", seqid, "page")).await;
+        let mut wire = server.accept().await;
+        next(&mut wire).await;
+        wires.push(wire);
+    }
+    drop(client);
+    for mut wire in wires {
+        wire.closed().await;
+    }
+    let mut client = shop.client().await;
+    client.write_bytes(&call("buy", 1, "order")).await;
+    let mut wire = server.accept().await;
+    let got = next(&mut wire).await;
+    wire.write_bytes(&reply("buy", got.seqid, "done")).await;
+    assert_eq!(next(&mut client).await.text, "done");
+}
+
+/// 10,000 calls at once, of which the node holds a few at a time: each is answered once.
+#[tokio::test]
+async fn a_client_that_pipelines_without_end_is_served_bit_by_bit() {
+    let server = Peer::new().await;
+    let shop = Shop::new(&[("s", &server)], "pipeline = 8").await;
+    const CALLS: i32 = 10_000;
+    let client = shop.client().await;
+    let serving = async {
+        let mut served = tokio::task::JoinSet::new();
+        loop {
+            let mut wire = server.accept().await;
+            served.spawn(async move {
+                while let Some(bytes) = wire.frame().await {
+                    let got = said(&bytes);
+                    wire.write_bytes(&reply("browse", got.seqid, &got.text)).await;
+                }
+            });
+            assert!(served.len() <= 16, "more connections than calls in hand and those before them");
+        }
+    };
+    let asking = async {
+        // Written by a task of its own: the node reads no more than it holds.
+        let mut socket = client;
+        let all: Vec<u8> = (0..CALLS).flat_map(|seqid| call("browse", seqid, &seqid.to_string())).collect();
+        let mut seen = vec![false; CALLS as usize];
+        let (mut written, mut answered) = (0, 0);
+        while answered < CALLS {
+            if written < all.len() {
+                let end = (written + 20_000).min(all.len());
+                socket.write_bytes(&all[written..end]).await;
+                written = end;
+            }
+            let due = if written < all.len() { answered + 200 } else { CALLS };
+            while answered < due.min(CALLS) {
+                let got = next(&mut socket).await;
+                assert_eq!((got.kind, got.text), (MessageType::Reply, got.seqid.to_string()));
+                assert!(!std::mem::replace(&mut seen[got.seqid as usize], true), "answered twice");
+                answered += 1;
+            }
+        }
+    };
+    tokio::select! {
+        _ = serving => unreachable!("it serves for ever"),
+        () = asking => {}
+    }
+}
+
+/// Where a name and a sequence id can be read, what is wrong is said; else the connection ends.
+#[tokio::test]
+async fn malformed_messages_are_turned_down() {
+    let server = Peer::new().await;
+    let shop = Shop::new(&[("s", &server)], "").await;
+    let mut depth = vec![0; frame::HEAD];
+    write::Binary(&mut depth).header(MessageType::Call, "buy", 3, true);
+    depth.extend(b"\x0c\x00\x01".repeat(200));
+    frame::seal(&mut depth);
+    let mut behind = call("buy", 3, "x");
+    behind.push(0);
+    frame::seal(&mut behind);
+    let mut unknown = call("buy", 3, "x");
+    unknown[7] = 2; // A reply.
+    for (bytes, kind) in [
+        (depth, ExceptionType::ProtocolError),
+        (behind, ExceptionType::ProtocolError),
+        (unknown, ExceptionType::InvalidMessageType),
+    ] {
+        let mut client = shop.client().await;
+        client.write_bytes(&bytes).await;
+        let answer = next(&mut client).await;
+        assert_eq!((answer.seqid, answer.number), (3, Some(kind as i64)), "{answer:?}");
+        client.ended().await;
+    }
+    for bytes in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[0xff; 16], &[0x7f; 16], b"\0\0\0\x05\x80\x01\x00\x09\x00"]
+    {
+        let mut client = shop.client().await;
+        client.write_bytes(bytes).await;
+        client.ended().await;
+    }
+    // These are calls, but none that is served: the connection goes on.
+    let mut client = shop.client().await;
+    for (bytes, kind, text) in [
+        (call("sell", 5, "x"), ExceptionType::UnknownMethod, "method sell is not served here"),
+        (call("topup", 5, ""), ExceptionType::ProtocolError, "the order key is missing"),
+    ] {
+        client.write_bytes(&bytes).await;
+        let answer = next(&mut client).await;
+        assert_eq!((answer.seqid, answer.number, answer.text.as_str()), (5, Some(kind as i64), text));
+    }
+    assert!(server.untouched().await, "passed on");
+}
+
+/// SIGTERM with a call in flight: it is answered, and the node ends well.
+#[tokio::test]
+async fn a_node_that_ends_answers_what_it_has() {
+    let server = Peer::new().await;
+    let mut shop = Shop::new(&[("s", &server)], "").await;
+    let mut client = shop.client().await;
+    client.write_bytes(&call("buy", 1, "order")).await;
+    let mut wire = server.accept().await;
+    let got = next(&mut wire).await;
+    shop.node.signal("TERM").await;
+    shop.node.logged("leaving").await;
+    tokio::time::sleep(std::time::Duration::from_millis(700)).await;
+    wire.write_bytes(&reply("buy", got.seqid, "done")).await;
+    assert_eq!(next(&mut client).await.text, "done");
+    client.ended().await;
+    assert!(shop.node.exited().await.success());
+}
+
+/// A bad operator's file is told in one line, before anything is started.
+#[tokio::test]
+async fn a_bad_operators_file_is_told_in_one_line() {
+    let discovery = Peer::new().await;
+    let listener = |rest: &str| format!("[[thrift]]\nname = 'a'\nlisten = '127.0.0.1:0'\n{rest}");
+    let servers = "[thrift.servers]\ndialect = 'framed-binary'\ndiscovery = '127.0.0.1:1'\n";
+    let cases = [
+        ("[[thrift]]\nname = ".to_owned(), "line 2, column"),
+        ("[[thrift]]\nnaem = 'a'".to_owned(), "unknown field `naem`"),
+        ("[[thrift]]\nname = 'a'".to_owned(), "missing field `listen`"),
+        (listener(&format!("[thrift.methods]\n{servers}")), "methods names no method"),
+        (listener(&format!("methods.buy.class = 'sell'\n{servers}")), "unknown class \"sell\""),
+        (listener(&format!("methods.buy.class = 'unsafe'\n{servers}")), "names a tenant"),
+        (listener(&format!("tenant = 'one'\nmethods.buy.class = 'keyed'\n{servers}")), "no key is named"),
+        (
+            listener(&format!("tenant = 'one'\nmethods.buy = {{ class = 'safe', key = '1.x' }}\n{servers}")),
+            "\"1.x\" is no path of field ids",
+        ),
+        (
+            listener(
+                "methods.buy.class = 'unsafe'\n[thrift.servers]\ndialect = 'auto'\ndiscovery = '127.0.0.1:1'",
+            ),
+            "servers.dialect is auto",
+        ),
+        (
+            listener(&format!("tenant = 'one'\nconnections = 900\nmethods.buy.class = 'unsafe'\n{servers}")),
+            "descriptors",
+        ),
+    ];
+    for (text, wanted) in cases {
+        let mut file = tempfile::NamedTempFile::new().expect("a file");
+        file.write_all(text.as_bytes()).expect("a file");
+        let config = json!({
+            "listen": "127.0.0.1:0", "discovery": discovery.address().to_string(), "seed": "1f", "settings": settings(),
+        });
+        let path = file.path().to_str().expect("a path");
+        let (process, _config) = start_with(&config.to_string(), &[("GW_OPERATOR", path)]);
+        let output = within("its end", process.wait_with_output()).await.expect("its output");
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success(), "{text}");
+        assert!(said.contains(wanted) && said.lines().count() == 1, "{text}: {said}");
+    }
+}
