--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -11,7 +11,7 @@
 use serde_json::{json, Value};
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitStatus;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -83,7 +83,7 @@
     },
 }
 
-fn io(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> FleetError {
+pub(crate) fn io(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> FleetError {
     let what = what.into();
     move |source| FleetError::Io { what, source }
 }
@@ -147,27 +147,36 @@
 }
 
 /// A node's process with the end of its log.
-struct NodeProcess {
+pub(crate) struct NodeProcess {
+    number: usize,
     child: Child,
     address: SocketAddr,
     log: Rc<RefCell<String>>,
     config: Value,
-    _file: ConfigFile,
+    _files: [Option<ConfigFile>; 2],
 }
 
 impl NodeProcess {
-    async fn start(plan: &Plan, number: usize, config: Value) -> Result<Self, FleetError> {
-        let what = || format!("starting node n{number} ({})", plan.binary.display());
+    /// Starts a node, with an operator's file if one is given.
+    pub(crate) async fn start(
+        binary: &Path,
+        number: usize,
+        config: Value,
+        operator: Option<&str>,
+    ) -> Result<Self, FleetError> {
+        let what = || format!("starting node n{number} ({})", binary.display());
         let file = ConfigFile::new(&config.to_string()).map_err(io(what()))?;
-        let mut child = process::start(&plan.binary, &file, &[]).map_err(io(what()))?;
+        let operator = operator.map(ConfigFile::new).transpose().map_err(io(what()))?;
+        let path = operator.as_ref().map(|o| o.path().display().to_string());
+        let variables: Vec<_> = path.iter().map(|p| ("GW_OPERATOR", p.as_str())).collect();
+        let mut child = process::start(binary, &file, &variables).map_err(io(what()))?;
         let log = Rc::new(RefCell::new(String::new()));
         let mut lines = BufReader::new(child.stderr.take().expect("it is piped")).lines();
         let listening = async {
             while let Ok(Some(line)) = lines.next_line().await {
-                let address = line.split("listening on ").nth(1).and_then(|a| a.parse().ok());
                 keep(&log, &line);
-                if address.is_some() {
-                    return address;
+                if let Some(address) = listening(&line) {
+                    return Some(address);
                 }
             }
             None
@@ -187,8 +196,48 @@
                 keep(&kept, &line);
             }
         });
-        Ok(NodeProcess { child, address, log, config, _file: file })
+        Ok(NodeProcess { number, child, address, log, config, _files: [Some(file), operator] })
     }
+
+    /// Its HTTP listener, once it says that it is ready.
+    pub(crate) async fn ready(&self) -> Result<SocketAddr, FleetError> {
+        let client = Clients::new(vec![self.address], Duration::ZERO);
+        let ready = async {
+            while !client.ready(0).await {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let not_ready = |_| FleetError::NotReady { node: self.number, log: self.log.borrow().clone() };
+        timeout(PATIENCE, ready).await.map(|()| self.address).map_err(not_ready)
+    }
+
+    /// The listener that it logged last, once its log holds a text as often as there are listeners.
+    pub(crate) async fn last_address(&self, text: &str) -> Result<SocketAddr, FleetError> {
+        let logged = async {
+            loop {
+                let log = self.log.borrow().clone();
+                let addresses: Vec<_> = log.lines().filter_map(listening).collect();
+                if let Some(address) =
+                    addresses.last().filter(|_| log.matches(text).count() >= addresses.len())
+                {
+                    return *address;
+                }
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let not_ready = |_| FleetError::NotReady { node: self.number, log: self.log.borrow().clone() };
+        timeout(PATIENCE, logged).await.map_err(not_ready)
+    }
+
+    /// Its process's number.
+    pub(crate) fn pid(&self) -> u32 {
+        self.child.id().unwrap_or(0)
+    }
+}
+
+/// The address that a line of a log tells.
+fn listening(line: &str) -> Option<SocketAddr> {
+    line.split("listening on ").nth(1)?.trim().parse().ok()
 }
 
 /// Keeps a line, and of those before it no more than a screenful.
@@ -236,17 +285,11 @@
             "seed": format!("{:x}", plan.script.seed.wrapping_add(n as u64)),
             "limits": {"sockets": 1024, "memory_mb": 192}, "settings": settings(&plan, &classes),
         });
-        nodes.push(NodeProcess::start(&plan, n, config).await?);
+        nodes.push(NodeProcess::start(&plan.binary, n, config, None).await?);
     }
     let clients = Rc::new(Clients::new(nodes.iter().map(|n| n.address).collect(), plan.slack));
-    for (n, node) in nodes.iter().enumerate() {
-        let ready = async {
-            while !clients.ready(n).await {
-                sleep(Duration::from_millis(5)).await;
-            }
-        };
-        let log = || node.log.borrow().clone();
-        timeout(PATIENCE, ready).await.map_err(|_| FleetError::NotReady { node: n, log: log() })?;
+    for node in &nodes {
+        node.ready().await?;
     }
 
     let began = Instant::now();
@@ -337,7 +380,7 @@
                 let _ = timeout(PATIENCE, node.child.wait()).await;
                 let mut config = node.config.clone();
                 config["listen"] = json!(node.address.to_string());
-                *node = NodeProcess::start(self.plan, n, config).await?;
+                *node = NodeProcess::start(&self.plan.binary, n, config, None).await?;
             }
             Deed::Servers(who, fault) => {
                 let all = self.servers.len();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod book;
 pub mod chance;
 pub mod client;
+pub mod cost;
 pub mod fleet;
 pub mod model;
 pub mod process;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -3,9 +3,11 @@
 #![forbid(unsafe_code)]
 
 use birchswitch_standin::book::Book;
+use birchswitch_standin::cost::{self, Way};
 use birchswitch_standin::fleet::{self, Plan, Report};
 use birchswitch_standin::process;
 use birchswitch_standin::script::Script;
+use birchswitch_thrift::Protocol;
 use clap::{Args, Parser, Subcommand};
 use std::error::Error;
 use std::path::PathBuf;
@@ -24,6 +26,27 @@
 enum Play {
     /// A launch minute: a freeze, a deploy with cold successors and a death, and a table of what came of it.
     Demo(Demo),
+    /// What a request costs a node over HTTP and Thrift: CPU time, latency, memory, and their ratios
+    Cost(Cost),
+}
+
+#[derive(Args)]
+struct Cost {
+    /// Rounds; a figure is the median of them
+    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u16).range(1..=50))]
+    rounds: u16,
+    /// Length of each measurement in seconds
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u16).range(1..=60))]
+    seconds: u16,
+    /// Clients, each with one request at a time
+    #[arg(long, default_value_t = 32, value_parser = clap::value_parser!(u16).range(1..=256))]
+    clients: u16,
+    /// A node's program to run in place of this workspace's own
+    #[arg(long)]
+    node: Option<PathBuf>,
+    /// Another build of the node, to measure beside it over HTTP
+    #[arg(long)]
+    beside: Option<PathBuf>,
 }
 
 #[derive(Args)]
@@ -66,10 +89,13 @@
 }
 
 fn main() -> ExitCode {
-    let Play::Demo(demo) = Arguments::parse().command;
-    match run(demo) {
-        Ok(book) if book.faults().is_empty() => ExitCode::SUCCESS,
-        Ok(_) => ExitCode::from(2),
+    let done = match Arguments::parse().command {
+        Play::Demo(demo) => run(demo).map(|book| book.faults().is_empty()),
+        Play::Cost(cost) => measure(cost).map(|()| true),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(2),
         Err(error) => {
             eprintln!("birchswitch-standin: {error}");
             ExitCode::FAILURE
@@ -117,6 +143,46 @@
     Ok(book)
 }
 
+fn measure(arguments: Cost) -> Result<(), Box<dyn Error>> {
+    let binary = match arguments.node {
+        Some(path) => path,
+        None => build_node()?,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let one = |binary: &PathBuf, way, probes| -> Result<cost::Cost, Box<dyn Error>> {
+        let plan = cost::Plan {
+            binary: binary.clone(),
+            way,
+            probes,
+            clients: arguments.clients.into(),
+            servers: 16,
+            length: Duration::from_secs(arguments.seconds.into()),
+        };
+        Ok(tokio::task::LocalSet::new().block_on(&runtime, cost::measure(&plan))?)
+    };
+    let ways = [Way::Http, Way::Thrift(Protocol::Compact), Way::Thrift(Protocol::Binary)];
+    let mut cases: Vec<_> = ways.iter().map(|way| (way.to_string(), &binary, *way)).collect();
+    cases.extend(arguments.beside.iter().map(|other| ("HTTP/1.1, other build".to_owned(), other, Way::Http)));
+    for probes in [false, true] {
+        println!("{}", if probes { "with probes" } else { "without probes" });
+        // The machine's speed changes by the second: each round asks all ways, and ratios are taken within it.
+        let mut rounds = Vec::new();
+        for _ in 0..arguments.rounds {
+            let round = cases.iter().map(|(_, binary, way)| one(binary, *way, probes));
+            rounds.push(round.collect::<Result<Vec<_>, _>>()?);
+        }
+        for (n, (name, ..)) in cases.iter().enumerate() {
+            let mut costs: Vec<_> = rounds.iter().map(|r| r[n]).collect();
+            costs.sort_by(|a, b| a.cpu_us.total_cmp(&b.cpu_us));
+            let mut ratios: Vec<f64> = rounds.iter().map(|r| r[n].cpu_us / r[0].cpu_us).collect();
+            ratios.sort_by(f64::total_cmp);
+            let (low, middle, high) = (ratios[0], ratios[ratios.len() / 2], ratios[ratios.len() - 1]);
+            println!("  {name:<24}{}; {middle:.2} of HTTP ({low:.2} to {high:.2})", costs[costs.len() / 2]);
+        }
+    }
+    Ok(())
+}
+
 fn progress(report: Report) {
     match report {
         Report::Second(at, book) => {
--- /dev/null
+++ b/node/tests/order_mix.rs
@@ -0,0 +1,302 @@
+//! One mix of orders over HTTP, framed binary, framed compact and unframed binary, to servers that do the same with the same
+//! order: each order has the same outcome and reaches servers as often, whatever it came over.
+
+use birchswitch_standin::scripted::*;
+use birchswitch_thrift::detect::Dialect;
+use birchswitch_thrift::walk::{self, Paths, Value};
+use birchswitch_thrift::write::{self, ExceptionType, Writer};
+use birchswitch_thrift::{frame, Kind, Limits, MessageType, Protocol};
+use birchswitch_thrift_proxy::Messages;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// What servers do with an order, attempt by attempt; the last goes for all that follow.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Deed {
+    Serve,
+    /// With proof that nothing ran.
+    TurnAway,
+    Fail,
+    /// The connection ends without an answer.
+    Break,
+    /// No answer ever comes.
+    Freeze,
+}
+
+use Deed::*;
+
+const CLASSES: [&str; 3] = ["safe", "keyed", "unsafe"];
+const DEEDS: [&[Deed]; 8] = [
+    &[Serve],
+    &[TurnAway, Serve],
+    &[TurnAway],
+    &[Fail, Serve],
+    &[Fail],
+    &[Break, Serve],
+    &[TurnAway, Break, Serve],
+    &[Freeze],
+];
+
+/// An order's text: its place among the deeds, and a number of its own.
+fn text(deed: usize, number: usize) -> String {
+    format!("{deed}-{number}")
+}
+
+/// How often each order has reached a server.
+type Reached = Arc<Mutex<BTreeMap<String, usize>>>;
+
+/// What is to be done with an order that has come, and counts it.
+fn deed(reached: &Reached, text: &str) -> Deed {
+    let deeds = DEEDS[text.split('-').next().and_then(|d| d.parse().ok()).unwrap_or(0)];
+    let mut reached = reached.lock().expect("no test panicked here");
+    let times = reached.entry(text.to_owned()).or_default();
+    *times += 1;
+    deeds[(*times - 1).min(deeds.len() - 1)]
+}
+
+/// Serves HTTP on each connection that comes.
+async fn serve_http(peer: Peer, reached: Reached) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        let (mut wire, reached) = (peer.accept().await, reached.clone());
+        connections.spawn(async move {
+            while let Some(request) = wire.read().await {
+                let text = request.start.split(['/', ' ']).nth(3).unwrap_or_default().to_owned();
+                match deed(&reached, &text) {
+                    Serve => wire.answer("200 OK", "", &text).await,
+                    TurnAway => wire.answer("503 Service Unavailable", "X-Not-Processed: 1\r\n", "").await,
+                    Fail => wire.answer("500 Internal Server Error", "", "").await,
+                    Break => return,
+                    Freeze => std::future::pending().await,
+                }
+            }
+        });
+    }
+}
+
+/// Serves framed binary Thrift on each connection that comes.
+async fn serve_thrift(peer: Peer, reached: Reached) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        let (mut wire, reached) = (peer.accept().await, reached.clone());
+        connections.spawn(async move {
+            while let Some(call) = wire.frame().await {
+                let (limits, paths) = (Limits::default(), Paths::new([[1i16]]));
+                let call = walk::framed(Protocol::Binary, &call, &paths, &limits).expect("a call");
+                let Some(Value::Binary(text)) = call.values[0] else { panic!("no text") };
+                let text = String::from_utf8_lossy(text).into_owned();
+                let exception = |kind| {
+                    let mut bytes = vec![0; frame::HEAD];
+                    write::exception(&mut bytes, Protocol::Binary, &call.header, kind, "");
+                    frame::seal(&mut bytes);
+                    bytes
+                };
+                match deed(&reached, &text) {
+                    Serve => {
+                        let header = call.header;
+                        let reply = message(
+                            Protocol::Binary,
+                            true,
+                            MessageType::Reply,
+                            header.name,
+                            header.seqid,
+                            &text,
+                        );
+                        wire.write_bytes(&reply).await;
+                    }
+                    TurnAway => wire.write_bytes(&exception(ExceptionType::UnknownMethod)).await,
+                    Fail => wire.write_bytes(&exception(ExceptionType::InternalError)).await,
+                    Break => return,
+                    Freeze => std::future::pending().await,
+                }
+            }
+        });
+    }
+}
+
+fn message(
+    protocol: Protocol,
+    framed: bool,
+    kind: MessageType,
+    name: &str,
+    seqid: i32,
+    text: &str,
+) -> Vec<u8> {
+    fn fill(writer: &mut impl Writer, kind: MessageType, name: &str, seqid: i32, text: &str) {
+        writer.header(kind, name, seqid, true);
+        writer.field(Kind::Binary, 1, 0, None);
+        writer.binary(text.as_bytes());
+        writer.stop();
+    }
+    let mut bytes = vec![0; if framed { frame::HEAD } else { 0 }];
+    match protocol {
+        Protocol::Binary => fill(&mut write::Binary(&mut bytes), kind, name, seqid, text),
+        Protocol::Compact => fill(&mut write::Compact(&mut bytes), kind, name, seqid, text),
+    }
+    if framed {
+        frame::seal(&mut bytes);
+    }
+    bytes
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    Served,
+    Refused,
+    Failed,
+}
+
+/// Places an order over HTTP.
+async fn over_http(address: SocketAddr, class: &str, text: &str) -> Outcome {
+    let mut wire = Wire::connect(address).await;
+    let method = if class == "safe" { "GET" } else { "POST" };
+    let head = format!(
+        "{method} /{class}/{text} HTTP/1.1\r\nHost: a\r\nX-Request-ID: {text}\r\nX-Timeout: 1000m\r\n"
+    );
+    wire.write(&format!("{head}X-Tenant-Id: one\r\nIdempotency-Key: {text}\r\nContent-Length: 0\r\n\r\n"))
+        .await;
+    let answer = wire.read().await.expect("an answer");
+    match answer.status() {
+        200 => {
+            assert_eq!(answer.body, text.as_bytes());
+            Outcome::Served
+        }
+        503 => Outcome::Refused,
+        _ => Outcome::Failed,
+    }
+}
+
+/// Places an order over Thrift, in a dialect that the node finds out for itself.
+async fn over_thrift(address: SocketAddr, dialect: Dialect, class: &str, text: &str) -> Outcome {
+    let mut stream = TcpStream::connect(address).await.expect("the node");
+    let call = message(dialect.protocol, dialect.framed, MessageType::Call, class, 3, text);
+    stream.write_all(&call).await.expect("writing");
+    let mut messages = Messages::new(Some(dialect), Limits::default());
+    let reply = loop {
+        if let Some(reply) = messages.message().expect("a reply") {
+            break reply;
+        }
+        let read = within("a reply", stream.read_buf(messages.room())).await;
+        assert!(read.is_ok_and(|n| n > 0), "the connection ended");
+    };
+    let (limits, paths) = (Limits::default(), Paths::new([[1i16], [2]]));
+    let reply = walk::framed(dialect.protocol, &reply, &paths, &limits).expect("a reply");
+    assert_eq!((reply.header.name, reply.header.seqid), (class, 3));
+    match (reply.header.kind, reply.values[1].and_then(|v| v.integer())) {
+        (MessageType::Reply, _) => {
+            assert_eq!(reply.values[0], Some(Value::Binary(text.as_bytes())));
+            Outcome::Served
+        }
+        (_, Some(kind)) if kind == ExceptionType::MissingResult as i64 => Outcome::Refused,
+        _ => Outcome::Failed,
+    }
+}
+
+/// The ways that clients take, each to servers and decisions of its own: HTTP, and these.
+const WAYS: [(Protocol, bool); 3] =
+    [(Protocol::Binary, true), (Protocol::Compact, true), (Protocol::Binary, false)];
+
+/// Three servers for one way, and the list of them.
+async fn servers(
+    way: usize,
+    reached: &Reached,
+    serving: &mut tokio::task::JoinSet<()>,
+) -> Vec<serde_json::Value> {
+    let mut members = Vec::new();
+    for id in ["a", "b", "c"] {
+        let peer = Peer::new().await;
+        members.push(member(id, peer.address(), "active"));
+        match way {
+            0 => serving.spawn(serve_http(peer, reached.clone())),
+            _ => serving.spawn(serve_thrift(peer, reached.clone())),
+        };
+    }
+    members
+}
+
+/// Places one order over every way, each with decisions that have seen nothing yet; returns each way's outcome and how
+/// often the order reached a server.
+async fn place(class: &str, deeds: usize) -> Vec<(Outcome, usize)> {
+    let mut settings = settings();
+    for profile in settings["profiles"].as_array_mut().expect("classes") {
+        profile["deadline_ns"] = json!(1_000_000_000u64);
+    }
+    let mut serving = tokio::task::JoinSet::new();
+    let (mut discoveries, mut reached) = (Vec::new(), Vec::new());
+    for _ in 0..=WAYS.len() {
+        discoveries.push(Peer::new().await);
+        reached.push(Reached::default());
+    }
+    let listener = |way: usize, discovery: &Peer| {
+        format!(
+            "[[thrift]]
+             name = 'way{way}'
+             listen = '127.0.0.1:0'
+             tenant = 'one'
+             connections = 16
+             memory_mb = 4
+             methods.safe.class = 'safe'
+             methods.keyed = {{ class = 'keyed', key = '1' }}
+             methods.unsafe.class = 'unsafe'
+             [thrift.servers]
+             dialect = 'framed-binary'
+             connections = 16
+             discovery = '{}'
+             never_ran = ['unknown-method']\n",
+            discovery.address()
+        )
+    };
+    let mut file = tempfile::NamedTempFile::new().expect("a file");
+    for (way, discovery) in discoveries.iter().enumerate().skip(1) {
+        file.write_all(listener(way, discovery).as_bytes()).expect("a file");
+    }
+    let config = json!({
+        "name": "n", "listen": "127.0.0.1:0", "discovery": discoveries[0].address().to_string(), "seed": "1f",
+        "limits": {"sockets": 1024, "memory_mb": 64}, "settings": settings,
+    });
+    let path = file.path().to_str().expect("a path");
+    let mut node = Node::told(config, &[("GW_OPERATOR", path)]).await;
+    let mut fronts = Vec::new();
+    for way in 1..=WAYS.len() {
+        let line = node.logged(&format!("way{way}: listening on ")).await;
+        fronts.push(line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address"));
+    }
+    let mut watches = Vec::new();
+    for (way, discovery) in discoveries.iter().enumerate() {
+        let members = servers(way, &reached[way], &mut serving).await;
+        let (mut watch, _) = discovery.watch().await;
+        watch.list(1, true, &members).await;
+        watches.push(watch);
+        match way {
+            0 => node.ready().await,
+            _ => drop(node.logged(&format!("way{way}: holds a list")).await),
+        }
+    }
+    let order = text(deeds, 1);
+    let mut outcomes = vec![over_http(node.address, class, &order).await];
+    for ((protocol, framed), front) in WAYS.iter().zip(fronts) {
+        let dialect = Dialect { protocol: *protocol, framed: *framed };
+        outcomes.push(over_thrift(front, dialect, class, &order).await);
+    }
+    let times = reached.iter().map(|r| r.lock().expect("no panic").get(&order).copied().unwrap_or(0));
+    outcomes.into_iter().zip(times).collect()
+}
+
+#[tokio::test]
+async fn one_mix_has_one_outcome_over_http_and_thrift() {
+    for (class, deeds) in CLASSES.iter().flat_map(|c| (0..DEEDS.len()).map(move |d| (*c, d))) {
+        let outcomes = place(class, deeds).await;
+        println!("{class:<7}{:?}: {:?}", DEEDS[deeds], outcomes[0]);
+        let same = outcomes.iter().all(|o| *o == outcomes[0]);
+        assert!(same, "{class} {:?}, over HTTP and {WAYS:?}: {outcomes:?}", DEEDS[deeds]);
+        if class == "unsafe" {
+            let runs = DEEDS[deeds].iter().take(outcomes[0].1).filter(|d| **d != TurnAway).count();
+            assert!(runs <= 1, "an unsafe order may have run {runs} times");
+        }
+    }
+}
