Thrift tests: a server that takes next to nothing, for a oneway cut in the middle

With the system's usual buffers the whole message went out, and the test passed without the handling.

--- a/crates/standin/src/scripted/wire.rs
+++ b/crates/standin/src/scripted/wire.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Ends a test that waits for something that never comes; nothing is measured by it.
 pub async fn within<T>(what: &str, future: impl Future<Output = T>) -> T {
@@ -239,6 +239,14 @@
         Peer(Closing(Some(TcpListener::bind(own_address()).await.expect("a port"))))
     }
 
+    /// Listens so that the system takes next to nothing for it that it doesn't read.
+    pub fn narrow() -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(4096).expect("a small buffer");
+        socket.bind(own_address()).expect("a port");
+        Peer(Closing(Some(socket.listen(64).expect("a port"))))
+    }
+
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
         self.0.local_addr().expect("an address")
--- a/node/tests/thrift.rs
+++ b/node/tests/thrift.rs
@@ -515,7 +515,7 @@
 /// A oneway of which only a part went out may have been taken for whole by nobody knows whom: it is not sent again.
 #[tokio::test]
 async fn a_oneway_written_in_part_goes_nowhere_else() {
-    let (one, two) = (Peer::new().await, Peer::new().await);
+    let (one, two) = (Peer::narrow(), Peer::narrow());
     let large = "message_kb = 3000\nmemory_mb = 8\nconnections = 2";
     let shop = Shop::new(&[("one", &one), ("two", &two)], large).await;
     let mut client = shop.client().await;
