Host: one pool of connections for HTTP and Thrift

The two servers' sides kept the same pool twice: listed servers, idle connections, room, retiring. All tests pass unchanged.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -9,6 +9,8 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod pool;
+
 use birchswitch_engine::{
     Answer, AttemptId, Clearance, Command, Duplicate, Ended, Engine, Incoming, ProbeId,
 };
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -3,6 +3,7 @@
 use crate::gate::{self, Gate, Guard, Head, Next, Problem, MOST_BODY};
 use crate::upstream::HttpUpstream;
 use birchswitch_engine::{Answer, Incoming};
+use birchswitch_host::pool::quiet;
 use birchswitch_host::{Host, Request as Taking};
 use birchswitch_site::Names;
 use bytes::Bytes;
@@ -151,7 +152,7 @@
             Stage::Idle => IDLE_LEAST,
             Stage::Busy | Stage::Leaving => return false,
         };
-        self.age() >= least && gate::quiet(&self.socket)
+        self.age() >= least && quiet(&self.socket)
     }
 
     fn leave(&self) {
@@ -165,7 +166,7 @@
         match stage {
             // Never one on which a request has come that was not read yet.
             Stage::New if age >= FIRST => self.leave(),
-            Stage::Idle if age >= IDLE && gate::quiet(&self.socket) => self.leave(),
+            Stage::Idle if age >= IDLE && quiet(&self.socket) => self.leave(),
             Stage::Head if age >= FIRST => {
                 self.stage.set(Stage::Late);
                 self.wake.notify_one();
--- a/crates/http/src/gate.rs
+++ b/crates/http/src/gate.rs
@@ -8,7 +8,6 @@
 use hyper::StatusCode;
 use socket2::SockRef;
 use std::io::{self, IoSlice};
-use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -234,12 +233,6 @@
     }
 }
 
-/// Whether a socket is open and nothing has come on it. Asks the system itself: what the runtime knows may be older.
-pub fn quiet(socket: &TcpStream) -> bool {
-    let mut byte = [MaybeUninit::uninit()];
-    SockRef::from(socket).peek(&mut byte).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
-}
-
 /// Reads a request's head.
 pub fn request_head(bytes: &[u8]) -> Result<Option<Head>, Problem> {
     let bad = |why| (StatusCode::BAD_REQUEST, why);
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -2,57 +2,31 @@
 
 use crate::gate::{self, Gate, Guard, Head, Next, Problem, MOST_BODY};
 use birchswitch_engine::{Clearance, Ended};
+use birchswitch_host::pool::{self, quiet, Fresh, Pool, Pooled, Server};
 use birchswitch_host::{ProbeTicket, Ticket, Upstream};
 use birchswitch_membership::Target;
 use birchswitch_site::{Field, Names};
 use bytes::Bytes;
-use finchvale::{LoadReport, Outcome, ServerId, ServerState};
+use finchvale::{LoadReport, Outcome, ServerId};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use rustc_hash::FxHashMap;
 use serde::de::{DeserializeSeed, Deserializer, IgnoredAny, MapAccess, Visitor};
 use std::borrow::Cow;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::fmt;
-use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::AbortHandle;
-use tokio::time::{timeout, Instant};
 
 /// Before it is used again a connection has to be quiet for so long: bytes behind an answer, on their way when it was
 /// given back, would pass for the answer to the next request.
 const QUARANTINE: Duration = Duration::from_millis(5);
 
-/// One server, as long as the list names it or something is out there.
-struct Server {
-    address: Cell<SocketAddr>,
-    /// Whether anything new may go there.
-    takes_new: Cell<bool>,
-    /// Grows whenever the connections made so far are of no more use.
-    generation: Cell<u64>,
-    /// The most recently used one is last.
-    idle: RefCell<Vec<Idle>>,
-}
-
-impl Server {
-    fn abandon_connections(&self) {
-        self.generation.set(self.generation.get() + 1);
-        self.idle.borrow_mut().clear();
-    }
-}
-
-struct Idle {
-    connection: Connection,
-    since: Instant,
-}
-
 /// One connection to a server; dropping it closes it.
 struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -64,10 +38,14 @@
     generation: u64,
 }
 
-impl Connection {
-    /// Whether the server has closed it or sent what nobody asked for, as far as the system knows by now.
+impl Pooled for Connection {
+    /// Whether the server has neither closed it nor sent what nobody asked for.
     fn good(&self) -> bool {
-        !self.more.get() && self.sender.is_ready() && self.socket.upgrade().is_some_and(|s| gate::quiet(&s))
+        !self.more.get() && self.sender.is_ready() && self.socket.upgrade().is_some_and(|s| quiet(&s))
+    }
+
+    fn generation(&self) -> u64 {
+        self.generation
     }
 }
 
@@ -105,7 +83,15 @@
     (Ended::bare(outcome), None)
 }
 
-/// The limits on connections to servers.
+/// All servers and the connections to them.
+pub struct HttpUpstream {
+    pool: Pool<Connection>,
+    names: Rc<Names>,
+    fields: Vec<Field>,
+}
+
+/// What the node may hold of connections to servers.
+#[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Most connections to all servers together.
     pub connections: usize,
@@ -115,15 +101,6 @@
     pub conn_idle: Duration,
 }
 
-/// All servers and the connections to them.
-pub struct HttpUpstream {
-    limits: Limits,
-    names: Rc<Names>,
-    fields: Vec<Field>,
-    slots: Arc<Semaphore>,
-    servers: RefCell<FxHashMap<ServerId, Rc<Server>>>,
-}
-
 /// Names the header of a load report.
 const LOAD: HeaderName = HeaderName::from_static("x-server-load");
 /// Marks an answer that proves that the request was not run.
@@ -132,101 +109,31 @@
 impl HttpUpstream {
     /// Starts with no servers. The names and fields tell how to read load reports.
     pub fn new(limits: Limits, names: Rc<Names>, fields: Vec<Field>) -> Rc<Self> {
-        Rc::new(HttpUpstream {
-            slots: Arc::new(Semaphore::new(limits.connections)),
-            limits,
-            names,
-            fields,
-            servers: RefCell::default(),
-        })
+        let Limits { connections, connect_timeout, conn_idle } = limits;
+        let limits = pool::Limits { connections, connect_timeout, conn_idle, rest: QUARANTINE };
+        Rc::new(HttpUpstream { pool: Pool::new(limits), names, fields })
     }
 
-    /// The server with this id, if it is listed.
-    fn get(&self, id: ServerId) -> Option<Rc<Server>> {
-        self.servers.borrow().get(&id).cloned()
+    /// Closes connections that have been idle for long, for good.
+    pub async fn retire_idle(&self) {
+        self.pool.retire_idle().await;
     }
 
-    // ---- connections ----
     /// The most recently used idle connection that has been quiet since, or a new one.
-    async fn checkout(&self, server: &Server) -> Result<Connection, Outcome> {
-        while let Some(connection) = self.take_idle(server) {
-            if connection.good() {
-                return Ok(connection);
-            }
-        }
-        let permit = self.slot().await.ok_or(Outcome::NotSent)?;
-        let generation = server.generation.get();
-        let connect = TcpStream::connect(server.address.get());
-        let stream = match timeout(self.limits.connect_timeout, connect).await {
-            Ok(Ok(stream)) => stream,
-            // The node's own shortage says nothing of the server.
-            Ok(Err(error)) if no_descriptors(&error) => return Err(Outcome::NotSent),
-            _ => return Err(Outcome::Unreachable),
-        };
-        // Word may have come meanwhile that the server moved or restarted: what answers at the address that it had
-        // is another's, or gone.
-        if generation != server.generation.get() {
-            return Err(Outcome::NotSent);
+    async fn checkout(&self, server: &Server<Connection>) -> Result<Connection, Outcome> {
+        if let Some(connection) = self.pool.idle(server) {
+            return Ok(connection);
         }
-        let _ = stream.set_nodelay(true);
+        let Fresh { stream, slot, generation } = self.pool.connect(server).await?;
         let (stream, more) = (Rc::new(stream), Rc::new(Cell::new(false)));
         let socket = Rc::downgrade(&stream);
         let gate = Gate::new(stream, Answers { more: more.clone() });
         let made = http1::handshake(TokioIo::new(gate)).await;
         let (sender, connection) = made.map_err(|_| Outcome::Unreachable)?;
-        let driver = tokio::task::spawn_local(drive(connection, permit)).abort_handle();
+        let driver = tokio::task::spawn_local(drive(connection, slot)).abort_handle();
         Ok(Connection { sender, driver, socket, more, generation })
     }
 
-    fn take_idle(&self, server: &Server) -> Option<Connection> {
-        let mut idle = server.idle.borrow_mut();
-        let rested = QUARANTINE..self.retire_after();
-        let at = idle.iter().rposition(|i| rested.contains(&i.since.elapsed()))?;
-        Some(idle.remove(at).connection)
-    }
-
-    /// Well before the server closes it: a request that crosses the closing may be lost.
-    fn retire_after(&self) -> Duration {
-        self.limits.conn_idle * 3 / 4
-    }
-
-    /// Room for one more connection, made if need be by closing the one that has been idle the longest.
-    async fn slot(&self) -> Option<OwnedSemaphorePermit> {
-        if let Ok(permit) = self.slots.clone().try_acquire_owned() {
-            return Some(permit);
-        }
-        self.close_longest_idle();
-        // The slot comes free once the driver of that connection has been dropped, in its next turn.
-        tokio::task::yield_now().await;
-        self.slots.clone().try_acquire_owned().ok()
-    }
-
-    fn close_longest_idle(&self) {
-        let servers = self.servers.borrow();
-        let idle = |s: &Rc<Server>| s.idle.borrow().first().map(|i| i.since);
-        if let Some((_, server)) = servers.values().filter_map(|s| Some((idle(s)?, s))).min_by_key(|s| s.0) {
-            server.idle.borrow_mut().remove(0);
-        }
-    }
-
-    /// Takes back a connection after its answer has been read. Whether it is good is asked when it is used again.
-    fn give_back(&self, server: &Server, connection: Connection) {
-        if connection.generation == server.generation.get() && server.takes_new.get() {
-            server.idle.borrow_mut().push(Idle { connection, since: Instant::now() });
-        }
-    }
-
-    /// Closes connections that have been idle for long, for good.
-    pub async fn retire_idle(&self) {
-        let mut every = tokio::time::interval((self.retire_after() / 8).max(Duration::from_millis(250)));
-        loop {
-            every.tick().await;
-            for server in self.servers.borrow().values() {
-                server.idle.borrow_mut().retain(|i| i.since.elapsed() < self.retire_after());
-            }
-        }
-    }
-
     // ---- attempts and probes ----
     async fn exchange(
         &self,
@@ -270,33 +177,11 @@
     type Answer = Response<Bytes>;
 
     fn learn(&self, targets: &[Target]) {
-        let mut servers = self.servers.borrow_mut();
-        for target in targets {
-            if target.state == ServerState::Gone {
-                if let Some(server) = servers.remove(&target.server) {
-                    server.takes_new.set(false);
-                    server.abandon_connections();
-                }
-                continue;
-            }
-            let server = servers.entry(target.server).or_insert_with(|| {
-                Rc::new(Server {
-                    address: Cell::new(target.address),
-                    takes_new: Cell::new(true),
-                    generation: Cell::new(0),
-                    idle: RefCell::default(),
-                })
-            });
-            server.address.set(target.address);
-            server.takes_new.set(target.state == ServerState::Ready);
-            if target.renewed {
-                server.abandon_connections();
-            }
-        }
+        self.pool.learn(targets);
     }
 
     async fn attempt(self: Rc<Self>, server: ServerId, request: Rc<Request<Bytes>>, ticket: Ticket<Self>) {
-        let Some(server) = self.get(server) else { return ticket.end(Ended::bare(Outcome::NotSent)) };
+        let Some(server) = self.pool.get(server) else { return ticket.end(Ended::bare(Outcome::NotSent)) };
         let connection = match self.checkout(&server).await {
             Ok(connection) => connection,
             Err(outcome) => return ticket.end(Ended::bare(outcome)),
@@ -305,7 +190,7 @@
         // which duplicates are dropped.
         let Clearance::Go(left) = ticket.clear() else {
             ticket.end(Ended::bare(Outcome::NotSent));
-            return self.give_back(&server, connection);
+            return self.pool.give_back(&server, connection);
         };
         let mut request = Request::clone(&request).map(Full::new);
         let left = HeaderValue::from_str(&format!("{}u", left.as_micros()));
@@ -313,22 +198,22 @@
         let (ended, connection) = self.exchange(connection, request, true).await;
         ticket.end(ended);
         if let Some(connection) = connection {
-            self.give_back(&server, connection);
+            self.pool.give_back(&server, connection);
         }
     }
 
     async fn probe(self: Rc<Self>, server: ServerId, ticket: ProbeTicket<Self>) {
-        let Some(server) = self.get(server) else { return ticket.end(Outcome::NotSent, None) };
+        let Some(server) = self.pool.get(server) else { return ticket.end(Outcome::NotSent, None) };
         let connection = match self.checkout(&server).await {
             Ok(connection) => connection,
             Err(outcome) => return ticket.end(outcome, None),
         };
-        let request = Request::get("/stats").header("host", server.address.get().to_string());
+        let request = Request::get("/stats").header("host", server.address().to_string());
         let request = request.body(Full::default()).expect("a fixed path and an address are valid");
         let (ended, connection) = self.exchange(connection, request, false).await;
         ticket.end(ended.outcome, ended.report);
         if let Some(connection) = connection {
-            self.give_back(&server, connection);
+            self.pool.give_back(&server, connection);
         }
     }
 }
@@ -380,9 +265,3 @@
     let _ = connection.await;
     drop(permit);
 }
-
-fn no_descriptors(error: &std::io::Error) -> bool {
-    const ENFILE: i32 = 23;
-    const EMFILE: i32 = 24;
-    matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
-}
--- a/crates/thrift-proxy/src/front.rs
+++ b/crates/thrift-proxy/src/front.rs
@@ -4,6 +4,7 @@
 use crate::settings::{Compiled, CompiledMethod};
 use crate::upstream::{Call, ThriftUpstream};
 use birchswitch_engine::{Answer, Incoming};
+use birchswitch_host::pool::quiet;
 use birchswitch_host::{Host, Request, Taken};
 use birchswitch_site::Names;
 use birchswitch_thrift::detect::Dialect;
@@ -13,10 +14,8 @@
 use bytes::Bytes;
 use finchvale::{TenantId, Time};
 use rustc_hash::{FxHashMap, FxHashSet};
-use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -329,7 +328,7 @@
                         Err(_) => return Some(End::Gone),
                     }
                 }
-                () = client.leave.notified() => if under_way.is_none() && quiet(reading) {
+                () = client.leave.notified() => if under_way.is_none() && quiet(reading.as_ref()) {
                     return Some(End::Finish);
                 },
                 () = sleep_until(limit.unwrap_or_else(Instant::now)), if limit.is_some() => {
@@ -526,12 +525,6 @@
     arrived: Instant,
 }
 
-fn quiet(reading: &OwnedReadHalf) -> bool {
-    let mut byte = [MaybeUninit::uninit()];
-    let peeked = SockRef::from(reading.as_ref()).peek(&mut byte);
-    peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
-}
-
 fn exception(dialect: Dialect, call: &Header, kind: ExceptionType, text: &str) -> Vec<u8> {
     let mut out = vec![0; if dialect.framed { frame::HEAD } else { 0 }];
     write::exception(&mut out, dialect.protocol, call, kind, text);
--- a/crates/thrift-proxy/src/upstream.rs
+++ b/crates/thrift-proxy/src/upstream.rs
@@ -3,29 +3,20 @@
 use crate::messages::Messages;
 use crate::settings::Compiled;
 use birchswitch_engine::{Clearance, Ended};
+use birchswitch_host::pool::{quiet, Fresh, Limits, Pool, Pooled, Server};
 use birchswitch_host::{ProbeTicket, Ticket, Upstream};
 use birchswitch_membership::Target;
 use birchswitch_thrift::walk::{self, Header, Paths, Value};
 use birchswitch_thrift::write::{self, Writer};
 use birchswitch_thrift::{frame, transcode, Error, MessageType, Protocol};
 use bytes::Bytes;
-use finchvale::{LoadReport, Outcome, ServerId, ServerState};
-use rustc_hash::FxHashMap;
-use socket2::SockRef;
-use std::cell::{Cell, RefCell};
-use std::io;
-use std::mem::MaybeUninit;
-use std::net::SocketAddr;
+use finchvale::{LoadReport, Outcome, ServerId};
+use std::cell::Cell;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{timeout, Instant};
-
-/// How often idle connections are looked at.
-const LOOK_AT_IDLE: Duration = Duration::from_millis(500);
+use tokio::sync::OwnedSemaphorePermit;
 
 /// A call as a client wrote it.
 #[derive(Clone, Debug)]
@@ -38,27 +29,6 @@
     pub oneway: bool,
 }
 
-struct Server {
-    address: Cell<SocketAddr>,
-    takes_new: Cell<bool>,
-    /// Grows whenever the connections made so far are of no more use.
-    generation: Cell<u64>,
-    /// The most recently used one is last.
-    idle: RefCell<Vec<Idle>>,
-}
-
-impl Server {
-    fn abandon_connections(&self) {
-        self.generation.set(self.generation.get() + 1);
-        self.idle.borrow_mut().clear();
-    }
-}
-
-struct Idle {
-    connection: Connection,
-    since: Instant,
-}
-
 struct Connection {
     stream: TcpStream,
     messages: Messages,
@@ -66,23 +36,20 @@
     _slot: OwnedSemaphorePermit,
 }
 
-impl Connection {
-    /// Whether it is open and empty, as far as the system knows by now.
+impl Pooled for Connection {
     fn good(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let quiet = SockRef::from(&self.stream).peek(&mut byte);
-        self.messages.is_empty() && quiet.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        self.messages.is_empty() && quiet(&self.stream)
+    }
+
+    fn generation(&self) -> u64 {
+        self.generation
     }
 }
 
 /// All servers of a listener and the connections to them.
 pub struct ThriftUpstream {
     settings: Rc<Compiled>,
-    connect_timeout: Duration,
-    /// After this a server closes an idle connection.
-    conn_idle: Duration,
-    slots: Arc<Semaphore>,
-    servers: RefCell<FxHashMap<ServerId, Rc<Server>>>,
+    pool: Pool<Connection>,
     next_seqid: Cell<i32>,
 }
 
@@ -99,79 +66,26 @@
 impl ThriftUpstream {
     /// Starts with no servers.
     pub fn new(settings: Rc<Compiled>, connect_timeout: Duration, conn_idle: Duration) -> Rc<Self> {
-        Rc::new(ThriftUpstream {
-            slots: Arc::new(Semaphore::new(settings.settings.servers.connections as usize)),
-            settings,
-            connect_timeout,
-            conn_idle,
-            servers: RefCell::default(),
-            next_seqid: Cell::new(1),
-        })
-    }
-
-    fn get(&self, id: ServerId) -> Option<Rc<Server>> {
-        self.servers.borrow().get(&id).cloned()
+        let connections = settings.settings.servers.connections as usize;
+        // Replies are told apart by their sequence ids: no connection has to rest.
+        let limits = Limits { connections, connect_timeout, conn_idle, rest: Duration::ZERO };
+        Rc::new(ThriftUpstream { pool: Pool::new(limits), settings, next_seqid: Cell::new(1) })
     }
 
-    /// Well before the server closes it: a call that crosses the closing may be lost.
-    fn retire_after(&self) -> Duration {
-        self.conn_idle * 3 / 4
-    }
-
-    /// Closes connections that have been idle for long, and those that servers have closed, for good.
+    /// Closes connections that have been idle for long, for good.
     pub async fn retire_idle(&self) {
-        let mut every = tokio::time::interval(LOOK_AT_IDLE);
-        loop {
-            every.tick().await;
-            let fit = |i: &Idle| i.since.elapsed() < self.retire_after() && i.connection.good();
-            for server in self.servers.borrow().values() {
-                server.idle.borrow_mut().retain(fit);
-            }
-        }
-    }
-
-    fn slot(&self) -> Option<OwnedSemaphorePermit> {
-        let free = || self.slots.clone().try_acquire_owned().ok();
-        free().or_else(|| {
-            let servers = self.servers.borrow();
-            let idle = |s: &Rc<Server>| s.idle.borrow().first().map(|i| i.since);
-            let longest = servers.values().filter_map(|s| Some((idle(s)?, s))).min_by_key(|s| s.0);
-            longest.iter().for_each(|(_, server)| drop(server.idle.borrow_mut().remove(0)));
-            free()
-        })
+        self.pool.retire_idle().await;
     }
 
-    async fn checkout(&self, server: &Server) -> Result<Connection, Outcome> {
-        loop {
-            let Some(idle) = server.idle.borrow_mut().pop() else { break };
-            if idle.since.elapsed() < self.retire_after() && idle.connection.good() {
-                return Ok(idle.connection);
-            }
-        }
-        let slot = self.slot().ok_or(Outcome::NotSent)?;
-        let generation = server.generation.get();
-        let connect = TcpStream::connect(server.address.get());
-        let stream = match timeout(self.connect_timeout, connect).await {
-            Ok(Ok(stream)) => stream,
-            // The node's own shortage says nothing of the server.
-            Ok(Err(error)) if matches!(error.raw_os_error(), Some(23 | 24)) => return Err(Outcome::NotSent),
-            _ => return Err(Outcome::Unreachable),
-        };
-        // What answers at the address that the server had is another's by now.
-        if generation != server.generation.get() {
-            return Err(Outcome::NotSent);
+    async fn checkout(&self, server: &Server<Connection>) -> Result<Connection, Outcome> {
+        if let Some(connection) = self.pool.idle(server) {
+            return Ok(connection);
         }
-        let _ = stream.set_nodelay(true);
+        let Fresh { stream, slot, generation } = self.pool.connect(server).await?;
         let messages = Messages::new(Some(self.settings.servers), self.settings.limits);
         Ok(Connection { stream, messages, generation, _slot: slot })
     }
 
-    fn give_back(&self, server: &Server, connection: Connection) {
-        if connection.generation == server.generation.get() && server.takes_new.get() && connection.good() {
-            server.idle.borrow_mut().push(Idle { connection, since: Instant::now() });
-        }
-    }
-
     /// One that no call on its connection has had lately: an old reply is not taken for a new one's.
     fn seqid(&self) -> i32 {
         self.next_seqid.replace(self.next_seqid.get().wrapping_add(1))
@@ -269,33 +183,11 @@
     type Answer = Bytes;
 
     fn learn(&self, targets: &[Target]) {
-        let mut servers = self.servers.borrow_mut();
-        for target in targets {
-            if target.state == ServerState::Gone {
-                if let Some(server) = servers.remove(&target.server) {
-                    server.takes_new.set(false);
-                    server.abandon_connections();
-                }
-                continue;
-            }
-            let server = servers.entry(target.server).or_insert_with(|| {
-                Rc::new(Server {
-                    address: Cell::new(target.address),
-                    takes_new: Cell::new(true),
-                    generation: Cell::new(0),
-                    idle: RefCell::default(),
-                })
-            });
-            server.address.set(target.address);
-            server.takes_new.set(target.state == ServerState::Ready);
-            if target.renewed {
-                server.abandon_connections();
-            }
-        }
+        self.pool.learn(targets);
     }
 
     async fn attempt(self: Rc<Self>, server: ServerId, call: Rc<Call>, ticket: Ticket<Self>) {
-        let Some(server) = self.get(server) else { return ticket.end(Ended::bare(Outcome::NotSent)) };
+        let Some(server) = self.pool.get(server) else { return ticket.end(Ended::bare(Outcome::NotSent)) };
         let mut connection = match self.checkout(&server).await {
             Ok(connection) => connection,
             Err(outcome) => return ticket.end(Ended::bare(outcome)),
@@ -307,7 +199,7 @@
         };
         if ticket.clear() == Clearance::Stop {
             ticket.end(Ended::bare(Outcome::NotSent));
-            return self.give_back(&server, connection);
+            return self.pool.give_back(&server, connection);
         }
         let exchanged = match Self::write(&mut connection, &bytes).await {
             // A server begins with a call's last byte. Of a oneway nobody would ever hear that it began after all.
@@ -315,7 +207,7 @@
             Err(_) => Exchanged::Broken,
             Ok(()) if call.oneway => {
                 ticket.end(Ended { outcome: Outcome::Served, report: None, answer: Some(Bytes::new()) });
-                return self.give_back(&server, connection);
+                return self.pool.give_back(&server, connection);
             }
             Ok(()) => {
                 let header = walk::header(call.protocol, &call.message, &self.settings.limits);
@@ -327,7 +219,7 @@
         match exchanged {
             Exchanged::Reply(reply) => {
                 ticket.end(self.ended(reply));
-                self.give_back(&server, connection);
+                self.pool.give_back(&server, connection);
             }
             Exchanged::Unsent => ticket.end(Ended::bare(Outcome::Unreachable)),
             Exchanged::Broken => ticket.end(Ended::bare(Outcome::Broken)),
@@ -336,7 +228,7 @@
 
     async fn probe(self: Rc<Self>, server: ServerId, ticket: ProbeTicket<Self>) {
         let Some((method, paths)) = &self.settings.load else { return ticket.end(Outcome::NotSent, None) };
-        let Some(server) = self.get(server) else { return ticket.end(Outcome::NotSent, None) };
+        let Some(server) = self.pool.get(server) else { return ticket.end(Outcome::NotSent, None) };
         let mut connection = match self.checkout(&server).await {
             Ok(connection) => connection,
             Err(outcome) => return ticket.end(outcome, None),
@@ -365,7 +257,7 @@
                 let served = header.is_ok_and(|h| h.kind == MessageType::Reply);
                 let report = self.report(&reply, paths).filter(|_| served);
                 ticket.end(if served { Outcome::Served } else { Outcome::Error }, report);
-                self.give_back(&server, connection);
+                self.pool.give_back(&server, connection);
             }
             Exchanged::Unsent | Exchanged::Broken => ticket.end(Outcome::Broken, None),
         }
