Thrift and engine tests: UUIDs, services, loads in answers, one mix for any protocol

One recorded mix through engines with different requests and answers makes the same commands under the same seed and clock. UUIDs by bytes after the specifications; a listener's own service; load figures in answers.

--- a/crates/engine/tests/rules.rs
+++ b/crates/engine/tests/rules.rs
@@ -485,3 +485,78 @@
     let id = world.arrive(SAFE, b"a").expect("taken");
     assert_eq!(answered(&world, id), Some(Answer::Failed));
 }
+
+/// The engine opens no request: one recorded mix under the same seed and clock makes the same commands, whatever requests and
+/// answers are made of.
+#[test]
+fn the_protocol_changes_no_decision() {
+    fn play<R: Clone, A: Clone>(request: R, answer: A, seed: u64) -> Vec<String> {
+        let mut now = Time(1_000_000_000);
+        let balancer = Balancer::new(settings(true), seed, now).expect("settings");
+        let mut engine: Engine<_, R, A> = Engine::new(balancer, &settings(true));
+        let all = (0..SERVERS).map(|s| entry(s, ServerState::Ready)).collect();
+        engine.list(now, ListKind::Full, all);
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let (mut said, mut out) = (Vec::new(), Vec::new());
+        for step in 0..2000u64 {
+            let some = below(&mut rng, 1 << 20);
+            match some % 4 {
+                0 => {
+                    let (due, last) = (now + 100 * MS, now + 105 * MS);
+                    let (class, name) = (ClassId((some / 4 % 3) as u8), step.to_be_bytes().into());
+                    let (tenant, work, request) = (TenantId(0), None, request.clone());
+                    let incoming = Incoming { class, tenant, work, due, last, name, request };
+                    let _ = engine.arrive(now, incoming);
+                }
+                1 if !out.is_empty() => {
+                    let attempt: AttemptId = out.remove((some / 4) as usize % out.len());
+                    let go = matches!(engine.clear(now, attempt), Clearance::Go(_));
+                    let outcome = match (go, some / 64 % 8) {
+                        (false, _) => Outcome::NotSent,
+                        (true, 0) => Outcome::TurnedAway,
+                        (true, 1) => Outcome::Broken,
+                        (true, 2) => Outcome::Error,
+                        (true, _) => Outcome::Served,
+                    };
+                    let answer = (outcome == Outcome::Served).then(|| answer.clone());
+                    engine.ended(now, attempt, Ended { outcome, report: None, answer });
+                }
+                _ => {
+                    now = now + Duration::from_micros(some % 3000);
+                    engine.wake(now);
+                }
+            }
+            while let Some(command) = engine.command() {
+                said.push(match command {
+                    Command::Start { attempt, server, .. } => {
+                        out.push(attempt);
+                        format!("{now:?} start {attempt:?} {server}")
+                    }
+                    Command::Cancel(attempt) => {
+                        out.retain(|a| *a != attempt);
+                        format!("{now:?} cancel {attempt:?}")
+                    }
+                    Command::Answer { request, answer } => {
+                        let answer = match answer {
+                            Answer::Served(_) => "served".to_owned(),
+                            Answer::Refused(wait) => format!("refused {wait:?}"),
+                            Answer::Failed => "failed".to_owned(),
+                        };
+                        format!("{now:?} {request} {answer}")
+                    }
+                    Command::Probe { probe, server } => format!("{now:?} probe {probe:?} {server}"),
+                    Command::CancelProbe(probe) => format!("{now:?} cancel {probe:?}"),
+                    Command::Watch => "watch".to_owned(),
+                    Command::Log(line) => line,
+                });
+            }
+        }
+        said
+    }
+    for seed in 0..5 {
+        let http = play("GET / HTTP/1.1".to_owned(), "200 OK".to_owned(), seed);
+        let thrift = play(vec![0x82u8, 0x21], [0u8; 3], seed);
+        assert!(http.iter().any(|s| s.ends_with("served")) && http.len() > 500, "{} commands", http.len());
+        assert_eq!(http, thrift, "seed {seed}");
+    }
+}
--- a/crates/thrift/tests/hostile.rs
+++ b/crates/thrift/tests/hostile.rs
@@ -80,6 +80,29 @@
     assert_eq!(told(b"\x15"), (1, Problem::Cut));
 }
 
+/// The crate that the other tests lean on knows no UUIDs; these bytes follow the specifications by hand.
+#[test]
+fn uuids_are_found_and_kept() {
+    let uuid: Vec<u8> = (1..=16).collect();
+    // Field 1, a UUID; field 2, a list of two of them; field 3, true.
+    let binary =
+        [BINARY_HEAD, b"\x10\0\x01", &uuid, b"\x0f\0\x02\x10\0\0\0\x02", &uuid, &uuid, b"\x02\0\x03\x01\0"]
+            .concat();
+    let compact = [COMPACT_HEAD, b"\x1d", &uuid, b"\x19\x2d", &uuid, &uuid, b"\x11\0"].concat();
+    let (limits, paths) = (Limits::default(), Paths::new([[1i16], [2], [3]]));
+    for (protocol, bytes, other) in
+        [(Protocol::Binary, &binary, &compact), (Protocol::Compact, &compact, &binary)]
+    {
+        let message = walk::framed(protocol, bytes, &paths, &limits).expect("a message");
+        let found: [u8; 16] = uuid.clone().try_into().expect("sixteen bytes");
+        assert_eq!(message.values[0], Some(walk::Value::Uuid(found)));
+        assert_eq!(message.values[2], Some(walk::Value::Bool(true)));
+        let mut out = Vec::new();
+        transcode::message(&mut out, protocol, bytes, 5, true, &limits).expect("it is whole");
+        assert_eq!(&out, other);
+    }
+}
+
 #[test]
 fn headers_that_are_none_are_turned_down() {
     let limits = Limits::default();
--- a/node/tests/thrift.rs
+++ b/node/tests/thrift.rs
@@ -634,6 +634,76 @@
     within("a row of calls at the idle server", in_a_row).await;
 }
 
+/// A service that is not the listener's is answered as one that nobody knows; its own, and calls that name none, are served.
+#[tokio::test]
+async fn another_service_is_not_served() {
+    let server = Peer::new().await;
+    let shop = Shop::new(&[("s", &server)], "service = 'shop'").await;
+    let mut client = shop.client().await;
+    client.write_bytes(&call("bank:buy", 1, "order")).await;
+    let answer = next(&mut client).await;
+    assert_eq!((answer.seqid, answer.number), (1, Some(ExceptionType::UnknownMethod as i64)));
+    let mut wire = None;
+    for (seqid, name) in [(2, "shop:buy"), (3, "buy")] {
+        client.write_bytes(&call(name, seqid, "order")).await;
+        if wire.is_none() {
+            wire = Some(server.accept().await);
+        }
+        let wire = wire.as_mut().expect("it was accepted");
+        let got = next(wire).await;
+        assert_eq!(got.name, name);
+        wire.write_bytes(&reply("buy", got.seqid, "done")).await;
+        assert_eq!(next(&mut client).await.seqid, seqid);
+    }
+}
+
+/// Where every answer holds the load, no method is asked for it, and calls move to the server with the lower one.
+#[tokio::test]
+async fn loads_in_answers_are_believed() {
+    let (idle, busy) = (Peer::new().await, Peer::new().await);
+    let report = "report = { busy = '0' }";
+    let shop = Shop::with(&[("a", &idle), ("b", &busy)], "", report).await;
+    let (calls, mut called) = tokio::sync::mpsc::unbounded_channel();
+    let mut serving = tokio::task::JoinSet::new();
+    for (peer, load) in [(idle, 0.0), (busy, 1.0)] {
+        let calls = calls.clone();
+        serving.spawn(async move {
+            let mut connections = tokio::task::JoinSet::new();
+            loop {
+                let (mut wire, calls) = (peer.accept().await, calls.clone());
+                connections.spawn(async move {
+                    while let Some(bytes) = wire.frame().await {
+                        let got = said(&bytes);
+                        assert_eq!(got.name, "buy");
+                        let mut out = vec![0; frame::HEAD];
+                        let mut writer = write::Binary(&mut out);
+                        writer.header(MessageType::Reply, "buy", got.seqid, true);
+                        writer.field(Kind::Double, 0, 0, None);
+                        writer.double(load);
+                        writer.stop();
+                        frame::seal(&mut out);
+                        calls.send(load).expect("the test runs");
+                        wire.write_bytes(&out).await;
+                    }
+                });
+            }
+        });
+    }
+    let mut client = shop.client().await;
+    // Without reports, so long a row is a matter of 1 in 10^6.
+    let in_a_row = async {
+        let (mut row, mut seqid) = (0, 0);
+        while row < 20 {
+            seqid += 1;
+            client.write_bytes(&call("buy", seqid, "order")).await;
+            if next(&mut client).await.kind == MessageType::Reply {
+                row = if called.recv().await == Some(0.0) { row + 1 } else { 0 };
+            }
+        }
+    };
+    within("a row of calls at the idle server", in_a_row).await;
+}
+
 /// SIGTERM with a call in flight: it is answered, and the node ends well.
 #[tokio::test]
 async fn a_node_that_ends_answers_what_it_has() {
