--- a/crates/engine/tests/rules.rs
+++ b/crates/engine/tests/rules.rs
@@ -467,6 +467,31 @@
     assert_eq!((world.engine.in_hand(), world.engine.next_wake()), (0, None));
 }
 
+/// However often a decider wants it, the site's number of attempts is not exceeded.
+#[test]
+fn no_request_gets_more_attempts_than_the_site_allows() {
+    struct Stubborn;
+    impl Decide for Stubborn {
+        fn handle(&mut self, _: Time, event: Event, actions: &mut Vec<Action>) {
+            let request = match event {
+                Event::Arrival(a) => a.request,
+                Event::Ended(e) if !e.closed && e.attempt < 9 => e.request,
+                _ => return,
+            };
+            actions.push(Action::Send { request, server: ServerId(0), limit: None });
+        }
+    }
+    let mut world = World::new(Stubborn, false);
+    let id = world.arrive(SAFE, b"a").expect("taken");
+    for _ in 0..3 {
+        assert!(matches!(world.write(0), Clearance::Go(_)));
+        world.end(0, Outcome::Broken);
+    }
+    assert!(world.held.is_empty(), "a fourth one");
+    world.advance(1000 * MS);
+    assert_eq!(answered(&world, id), Some(Answer::Failed));
+}
+
 /// Decisions that go round in a circle end.
 #[test]
 fn a_request_that_is_sent_on_for_ever_is_given_up() {
