Decisions in rooms: market, admission, attempts, probes and cold starts, arrows one way

src/logic.rs held prices, shedding, admission, attempts and probes in one impl, and it and src/state.rs imported one another.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -79,7 +79,7 @@
 extern crate self as finchvale;
 
 mod interface;
-mod logic;
+mod policy;
 mod state;
 
 pub use interface::*;
--- /dev/null
+++ b/src/policy/attempts.rs
@@ -0,0 +1,115 @@
+//! Attempts: which server a request goes to, whether it goes again, and the answer of one that is given up.
+
+use super::{admission, cold};
+use crate::interface::{Action, Effect, Group, RequestId, ServerState, Time};
+use crate::state::{Attempt, Balancer, Request, Server};
+
+const RETRY_EARN: f64 = 0.2; // further attempts that each request earns (retry budget) ...
+pub(crate) const RETRY_MOST: f64 = 10.0; // ... and the most saved up
+
+/// Whether a request's next attempt may go to this server, by any rule; every send passes here.
+pub(crate) fn open(b: &Balancer, now: Time, r: &Request, s: &Server) -> bool {
+    let class = &b.settings.classes[usize::from(r.class.0)];
+    let rules = &b.settings.rules;
+    if s.state != ServerState::Ready
+        || !s.may_serve(class)
+        || r.attempts.iter().any(|a| a.server == s.id)
+        || (!b.settings.second_copies && !r.idle())
+        || cold::too_heavy(rules, s.warmth(rules, now), r.work.unwrap_or(0.0))
+    {
+        return false;
+    }
+    let Some(risky) = r.attempts.iter().find(|a| a.risky()) else { return true };
+    match class.effect {
+        Effect::Safe => true,
+        Effect::Unsafe => false,
+        Effect::Keyed { window, .. } if now - risky.sent >= window => false,
+        Effect::Keyed { group: Group::All, .. } => true,
+        Effect::Keyed { group: Group::Zone, .. } => s.zone == risky.zone,
+        Effect::Keyed { group: Group::Cell, .. } => s.cell == risky.cell,
+    }
+}
+
+/// Draws a server by share among those open to this request. What closed servers leave goes to warm ones:
+/// a cold server keeps its share and no more, since its bound holds for that.
+pub(crate) fn draw(b: &mut Balancer, now: Time, id: RequestId, warm_only: bool) -> Option<usize> {
+    admission::refresh(b, now);
+    let mark = b.random();
+    let r = b.requests.get(&id)?;
+    let m = &b.markets[usize::from(r.class.0)];
+    let (mut cold, mut warm, mut cold_sum, mut warm_sum) = (Vec::new(), Vec::new(), 0.0, 0.0);
+    for (&i, &share) in b.ready.iter().zip(&m.shares) {
+        let s = &b.servers[i];
+        if share <= 0.0 || r.asked.iter().any(|a| a.0 == s.id) || !open(b, now, r, s) {
+            continue;
+        }
+        let (list, sum) = match s.warmth(&b.settings.rules, now) < 1.0 {
+            true if warm_only => continue,
+            true => (&mut cold, &mut cold_sum),
+            false => (&mut warm, &mut warm_sum),
+        };
+        *sum += share;
+        list.push((i, *sum));
+    }
+    // The toll has turned away already what bounds leave without a place on a first try.
+    let first = r.attempts.is_empty() && r.asked.is_empty();
+    let whole = if first { m.shares.iter().sum() } else { m.open };
+    type Marks = [(usize, f64)];
+    let pick = |l: &Marks, at: f64| l.iter().find(|m| m.1 > at).or(l.last()).map(|m| m.0);
+    match mark * whole {
+        at if at < cold_sum => pick(&cold, at),
+        at => pick(&warm, (at - cold_sum) / (whole - cold_sum) * warm_sum),
+    }
+}
+
+pub(crate) fn send(
+    b: &mut Balancer,
+    now: Time,
+    id: RequestId,
+    server: Option<usize>,
+    actions: &mut Vec<Action>,
+) {
+    let fits = |i: &usize| b.requests.get(&id).is_some_and(|r| open(b, now, r, &b.servers[*i]));
+    let Some(i) = server.filter(fits) else { return finish(b, id, actions) };
+    let Some(r) = b.requests.get_mut(&id) else { return };
+    let s = &mut b.servers[i];
+    let fresh = !s.connected(now, b.settings.conn_idle);
+    s.out.push(now);
+    s.held = s.held.map(|held| held + 1.0);
+    b.sends.add(now, 1.0);
+    b.markets[usize::from(r.class.0)].steady.add(now, 1.0);
+    let (server, zone, cell) = (s.id, s.zone, s.cell);
+    r.attempts.push(Attempt { server, zone, cell, sent: now, ended: false, may_have_run: false, fresh });
+    actions.push(Action::Send { request: id, server, limit: Some(r.ends - now) });
+}
+
+/// Each request earns a part of a further attempt.
+pub(crate) fn earn(b: &mut Balancer) {
+    b.further = (b.further + RETRY_EARN).min(RETRY_MOST);
+}
+
+/// Whether class, time and the retry budget allow another attempt; the budget keeps collapses unfed.
+pub(crate) fn again(b: &Balancer, now: Time, r: &Request) -> bool {
+    let left = b.aim(r.class, r.work) - (now - r.arrived).as_secs_f64();
+    let tries = (r.attempts.len() as u32) < b.settings.max_attempts;
+    !(left < 0.5 * b.latency || r.ends <= now || !tries || b.further < 1.0)
+}
+
+/// The final answer of a request that is given up: refused where that is true to its class, else failed.
+pub(crate) fn finish(b: &mut Balancer, id: RequestId, actions: &mut Vec<Action>) {
+    let Some(r) = b.requests.get_mut(&id).filter(|r| r.open && !r.begun) else { return };
+    r.open = false;
+    let harmless = match b.settings.classes[usize::from(r.class.0)].effect {
+        Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+        _ => !r.attempts.iter().any(Attempt::risky),
+    };
+    actions.push(match harmless {
+        true => Action::Refuse { request: id, wait: b.settings.max_wait },
+        false => Action::Fail { request: id },
+    });
+    b.forget(id);
+}
+
+#[cfg(test)]
+#[path = "tests/attempts.rs"]
+mod tests;
--- /dev/null
+++ b/src/policy/tests/admission.rs
@@ -0,0 +1,80 @@
+//! What is turned away, and that it is let in again.
+
+use super::super::helpers::*;
+use super::*;
+use crate::interface::*;
+
+fn plain_end(id: u64, server: ServerId, outcome: Outcome) -> Ended {
+    let report = (outcome == Outcome::Served).then(|| report(0.3, 0.0));
+    let Event::Ended(end) = ended(id, 0, server, outcome, report) else { unreachable!("an end") };
+    end
+}
+
+#[test]
+fn tolls_turn_away_the_least_worth_first() {
+    let mut b = balancer(2);
+    b.markets[0].worths.extend([1.0, 1.0, 10.0, 10.0]);
+    clear(&mut b, 0, 0.3);
+    let turned = |w: f64| (b.markets[0].toll / w).min(1.0);
+    assert!(turned(1.0) > 3.0 * turned(10.0));
+    assert!(((turned(1.0) + turned(10.0)) / 2.0 - 0.3).abs() < 0.02);
+    clear(&mut b, 0, 0.0);
+    assert_eq!(b.markets[0].toll, 0.0);
+}
+
+/// Incident ie8f519: servers slowed by their own load answered nothing in time and so reported nothing. What the
+/// node's own attempts meet sheds arrivals, stays shed without news, and lets them in again.
+#[test]
+fn attempts_that_meet_load_shed_arrivals() {
+    let mut b = blind();
+    let shed = |b: &mut Balancer, from: u64, outcome: Outcome| {
+        for k in 0..100 {
+            let id = from + k;
+            let now = at(from + 20 * k);
+            if let Some(server) = sent(b, now, id) {
+                let end = Ended { latency: ms(900), ..plain_end(id, server, outcome) };
+                let quick = Ended { latency: ms(100), ..end };
+                let end = if outcome == Outcome::Served { quick } else { end };
+                b.handle(now, Event::Ended(end), &mut vec![]);
+            }
+        }
+        b.markets[0].refused
+    };
+    assert_eq!(shed(&mut b, 0, Outcome::Served), 0.0);
+    let most = shed(&mut b, 10_000, Outcome::TimedOut);
+    assert!(most > 0.6, "{most}");
+    b.solved = None;
+    refresh(&mut b, at(13_000));
+    assert!(b.markets[0].refused > 0.8 * most, "no news leaves it");
+    let mut after = most;
+    for round in 0..5 {
+        after = shed(&mut b, 20_000 + 3000 * round, Outcome::Served);
+    }
+    assert!(after < 0.1, "{after}");
+}
+
+#[test]
+fn empty_list_refuses_and_recovers() {
+    let mut b = balancer(0);
+    let mut actions = vec![];
+    b.handle(at(1), arrival(1, 1), &mut actions);
+    assert!(matches!(actions[..], [Action::Refuse { .. }]));
+    b.handle(at(2), list(3), &mut actions);
+    assert!(sent(&mut b, at(100), 2).is_some());
+}
+
+#[test]
+fn settings_that_make_no_sense_are_named() {
+    let bad = |change: fn(&mut Settings)| {
+        let mut s = settings();
+        change(&mut s);
+        Balancer::new(s, 0, at(0)).err().map(|e| e.to_string()).unwrap_or_default()
+    };
+    assert!(bad(|s| s.classes.clear()).contains("classes"));
+    assert!(bad(|s| s.zone = ZoneId(9)).contains("zone"));
+    assert!(bad(|s| s.rules.cold_from = -0.1).contains("rules.cold_from"));
+    assert!(bad(|s| s.rules.fall_multiple = f64::NAN).contains("rules.fall_multiple"));
+    assert!(bad(|s| s.classes[0].worth = f64::INFINITY).contains("classes.worth"));
+    assert!(bad(|s| s.nodes = 0).contains("nodes"));
+    assert_eq!(bad(|_| ()), "");
+}
--- /dev/null
+++ b/src/policy/tests/cold.rs
@@ -0,0 +1,80 @@
+//! Servers that have just started, among many nodes.
+
+use super::super::attempts;
+use super::super::helpers::*;
+use super::{most, too_heavy};
+use crate::interface::*;
+use crate::state::Balancer;
+
+/// Many nodes together: a cold server's intake stays far inside its budget from its first second on.
+#[test]
+fn cold_servers_are_not_rushed() {
+    let (nodes, servers, rate) = (40u64, 20u32, 2.0);
+    let rules = settings().rules;
+    let started = at(1000);
+    let mut all: Vec<Balancer> = (0..nodes)
+        .map(|n| {
+            Balancer::new(Settings { nodes: nodes as u32, ..settings() }, n, at(0)).expect("sound settings")
+        })
+        .collect();
+    for b in &mut all {
+        b.handle(at(0), list(servers), &mut vec![]);
+        let entries = vec![entry(0, ServerState::Ready, Some(started))];
+        b.handle(started, Event::List { kind: ListKind::Changes, entries }, &mut vec![]);
+    }
+    // Each node sends once every 1/rate of 50 ms; warm peers take total / servers a second.
+    let (mut id, mut cold) = (0, vec![]);
+    for tick in 0..400u64 {
+        let now = at(1000 + tick * 10);
+        for b in &mut all {
+            id += 1;
+            if sent(b, now, id) == Some(ServerId(0)) {
+                cold.push(tick * 10);
+            }
+        }
+    }
+    let peer = nodes as f64 * 100.0 / f64::from(servers) * rate / 2.0;
+    for from in (0..3000u64).step_by(100) {
+        let window = cold.iter().filter(|t| (from..from + 1000).contains(t)).count() as f64;
+        let warmth = rules.cold_from + (1.0 - rules.cold_from) * from as f64 / 20_000.0;
+        assert!(window < 0.5 * rules.fall_multiple * warmth * peer, "{window} at {from}");
+    }
+    assert!(!cold.is_empty(), "it must get work to warm up");
+}
+
+/// What tried or closed servers leave goes to warm ones: a cold server's chance does not grow.
+#[test]
+fn cold_servers_do_not_take_what_others_leave() {
+    let mut b = balancer(4);
+    let entries = vec![entry(0, ServerState::Ready, Some(at(900)))];
+    b.handle(at(1000), Event::List { kind: ListKind::Changes, entries }, &mut vec![]);
+    let mut counts = [0u32; 4];
+    for k in 0..20_000 {
+        let id = RequestId(k);
+        let mut actions = vec![];
+        b.handle(at(1000), arrival(k, 0), &mut actions);
+        let Some(r) = b.requests.get_mut(&id) else { continue };
+        for a in &mut r.attempts {
+            (a.ended, a.server) = (true, ServerId(1 + (k % 2) as u32));
+        }
+        if let Some(i) = attempts::draw(&mut b, at(1000), id, false) {
+            counts[b.servers[i].id.0 as usize] += 1;
+        }
+        b.requests.remove(&id);
+    }
+    let i = b.ready.iter().position(|&i| b.servers[i].id == ServerId(0)).expect("ready");
+    let share = b.markets[0].shares[i] / 4.0;
+    assert!(share > 0.005, "{share}");
+    assert!((f64::from(counts[0]) / 20_000.0 - share).abs() < 0.005, "{counts:?} for {share}");
+}
+
+/// A request that alone would spend a good part of a cold server's budget waits for a warmer one; warm ones take any.
+#[test]
+fn heavy_requests_do_not_go_to_cold_servers() {
+    let rules = settings().rules;
+    let budget = rules.fall_multiple * rules.cold_from * rules.fall_time.as_secs_f64();
+    assert!(too_heavy(&rules, rules.cold_from, 0.5 * budget));
+    assert!(!too_heavy(&rules, rules.cold_from, 0.1 * budget));
+    assert!(!too_heavy(&rules, 1.0, 100.0 * budget));
+    assert!(most(&rules, 0.5) < most(&rules, 0.9) && most(&rules, 1.0).is_infinite());
+}
--- /dev/null
+++ b/src/policy/tests/market.rs
@@ -0,0 +1,281 @@
+//! Prices follow the load, shares the prices.
+
+use super::super::helpers::{report, *};
+use super::super::{admission, market};
+use super::*;
+use crate::interface::*;
+
+fn line(price: f64, speed: f64) -> Line {
+    Line { price, speed, most: f64::INFINITY }
+}
+
+fn solved(lines: &[Line]) -> Vec<f64> {
+    let mut shares = vec![];
+    solve_shares(lines, 0.0, 0.5, &mut shares);
+    shares
+}
+
+fn utility(lines: &[Line], shares: &[f64]) -> f64 {
+    lines.iter().zip(shares).map(|(l, s)| (1.0 + s * l.speed).ln() - l.price * s).sum()
+}
+
+#[test]
+fn shares_are_feasible_and_optimal() {
+    let mut rng = Balancer::new(settings(), 3, at(0)).expect("sound settings");
+    for n in 1..30usize {
+        let lines: Vec<Line> = (0..n).map(|_| line(rng.random() * 2.0, 0.1 + 2.0 * rng.random())).collect();
+        let shares = solved(&lines);
+        assert!((shares.iter().sum::<f64>() - n as f64).abs() < 1e-4 * n as f64);
+        assert!(shares.iter().all(|s| *s >= 0.0));
+        // Independent check: no small move of share from one server to another raises the sum of utility
+        // less price.
+        let best = utility(&lines, &shares);
+        for from in 0..n {
+            for to in 0..n {
+                let mut other = shares.clone();
+                let moved = (0.01f64).min(other[from]);
+                other[from] -= moved;
+                other[to] += moved;
+                assert!(utility(&lines, &other) <= best + 1e-6, "{from} to {to} of {n}");
+            }
+        }
+    }
+}
+
+/// A cold server gets little, is idle and grows cheap. The others must still get all that it can't take, however dear they
+/// are beside it: on days of releases half of the requests were refused for want of shares.
+#[test]
+fn a_cheap_bounded_server_does_not_close_the_others() {
+    let cold = Line { most: 0.1, ..line(0.0, 1.0) };
+    let shares = solved(&[cold, line(1.5, 1.0), line(1.6, 1.0), line(1.7, 1.0)]);
+    assert!((shares.iter().sum::<f64>() - 4.0).abs() < 1e-3, "{shares:?}");
+    assert!(
+        shares[0] <= 0.1 && shares[1] > shares[2] && shares[2] > shares[3] && shares[3] > 0.0,
+        "{shares:?}"
+    );
+}
+
+#[test]
+fn shares_bear_extreme_prices_and_speeds() {
+    assert!((solved(&[line(5.0, 1.0)])[0] - 1.0).abs() < 1e-5);
+    let shares = solved(&[line(1e9, 1.0), line(0.0, 1e6), line(0.0, 0.01), line(3.0, 1.0)]);
+    assert!((shares.iter().sum::<f64>() - 4.0).abs() < 1e-3, "{shares:?}");
+    assert_eq!(shares[0], 0.0);
+    // Bounds that leave no room: what is left over is not forced on anyone.
+    let tight: Vec<Line> = (0..4).map(|_| Line { most: 0.5, ..line(0.1, 1.0) }).collect();
+    assert_eq!(solved(&tight), vec![0.5; 4]);
+    let closed = [Line { most: 0.0, ..line(0.0, 1.0) }];
+    assert_eq!(solved(&closed), vec![0.0]);
+}
+
+#[test]
+fn price_follows_the_projected_step() {
+    let mut b = balancer(4);
+    b.mean_load = 1.0;
+    market::report(&mut b, at(0), ServerId(1), &report(0.8, 10.0));
+    market::report(&mut b, at(0), ServerId(2), &report(0.1, 10.0));
+    let i = b.index[&ServerId(1)];
+    step(&mut b, i, at(200));
+    assert!((b.servers[i].price - STEP * 0.2 * (0.8 - LOAD_FACTOR)).abs() < 1e-9);
+    let k = b.index[&ServerId(2)];
+    step(&mut b, k, at(200));
+    assert_eq!(b.servers[k].price, 0.0, "projected at zero");
+    // A report moves the price for its life only.
+    b.going_price = b.servers[i].price;
+    step(&mut b, i, at(600));
+    let price = b.servers[i].price;
+    b.going_price = price;
+    step(&mut b, i, at(5000));
+    assert!((b.servers[i].price - price).abs() < 1e-9);
+}
+
+#[test]
+fn new_servers_start_at_the_mean_price() {
+    let mut b = balancer(2);
+    b.mean_price = 0.4;
+    let entries = vec![entry(9, ServerState::Ready, None)];
+    b.handle(at(1), Event::List { kind: ListKind::Changes, entries }, &mut vec![]);
+    assert_eq!(b.servers[b.index[&ServerId(9)]].price, 0.4);
+}
+
+/// Altiplano big-2: with dispersed prices up to ten of n shares gathered on one server and broke it.
+#[test]
+fn no_server_is_asked_for_more_than_its_part() {
+    let mut b = balancer(4);
+    for k in 0..200u64 {
+        let now = at(k * 10);
+        b.handle(now, arrival(k, 0), &mut vec![]);
+        for s in 0..4 {
+            market::report(&mut b, now, ServerId(s), &report(0.9, 22.5));
+        }
+    }
+    // Capacity 25 a second and server; this node's part of it is a quarter, it asks for 100.
+    for s in 1..4 {
+        failed(&mut b, at(2000), ServerId(s), Outcome::Error);
+    }
+    admission::refresh(&mut b, at(2000));
+    let most = ADMIT * 25.0 * b.part * 4.0 / b.markets[0].arrivals.add(at(2000), 0.0);
+    assert!(b.markets[0].shares.iter().all(|s| *s <= most * 1.01), "{:?} above {most}", b.markets[0].shares);
+    assert!(b.markets[0].toll > 0.0, "what finds no place is turned away");
+}
+
+/// A server that fails fast reports little load; its failures must make it dear all the same.
+#[test]
+fn fast_failing_server_grows_dear() {
+    let mut b = balancer(4);
+    for s in 0..4 {
+        market::report(&mut b, at(0), ServerId(s), &report(0.5, 10.0));
+    }
+    admission::refresh(&mut b, at(50));
+    let i = b.index[&ServerId(2)];
+    let before = share(&b, 0, 2);
+    failed(&mut b, at(60), ServerId(2), Outcome::Error);
+    failed(&mut b, at(60), ServerId(2), Outcome::Error);
+    admission::refresh(&mut b, at(120));
+    assert!(b.servers[i].price > 0.9);
+    assert!(share(&b, 0, 2) < 0.2 * before, "{:?}", b.markets[0].shares);
+}
+
+/// A hung server reports nothing: its oldest unanswered send makes it dear.
+#[test]
+fn hung_server_grows_dear_and_comes_back() {
+    let mut b = balancer(4);
+    let hung = sent(&mut b, at(0), 1).expect("sent");
+    let i = b.index[&hung];
+    step(&mut b, i, at(3000));
+    let dear = b.servers[i].price;
+    assert!(dear > 0.5, "{dear}");
+    // Once it is answered the price drifts back: no lasting avoidance.
+    b.handle(at(3000), ended(1, 0, hung, Outcome::Served, None), &mut vec![]);
+    for k in 0..400 {
+        step(&mut b, i, at(3000 + 50 * k));
+    }
+    assert!(b.servers[i].price < 0.1);
+}
+
+/// Etichete big-1: every node opened connections to every server, whose tables filled up, and heard of each too
+/// rarely to price it. A node deals with few servers, by an order of its own, and with more as it sends more.
+#[test]
+fn nodes_deal_with_as_many_servers_as_they_hear_of() {
+    let mut b = blind();
+    let dealt = |b: &mut Balancer, from: u64, gap: u64| {
+        for k in 0..200 {
+            b.handle(at(from + k * gap), arrival(from + k, 0), &mut vec![]);
+        }
+        b.markets[0].open
+    };
+    let slow = dealt(&mut b, 1, 500);
+    assert_eq!(slow, LEAST_OPEN);
+    // Ten times as many requests: it hears of more servers in time.
+    let fast = dealt(&mut b, 200_000, 50);
+    assert!(fast > 2.0 * slow, "{fast}");
+    let mut other = Balancer::new(b.settings.clone(), 8, at(0)).expect("sound settings");
+    other.handle(at(0), list(40), &mut vec![]);
+    let first = |b: &Balancer| b.ready[..5].iter().map(|&i| b.servers[i].id).collect::<Vec<_>>();
+    assert_ne!(first(&b), first(&other));
+}
+
+/// Etichete quiet: proofs preferred the fast servers, the only ones for bookings, and crowded them.
+#[test]
+fn bound_classes_leave_less_speed_to_the_others() {
+    let mut settings = Settings { weights_given: true, ..settings() };
+    settings.classes.truncate(2);
+    settings.classes[1].kinds = Some(vec![KindId(0)]);
+    let mut b = Balancer::new(settings, 7, at(0)).expect("sound settings");
+    b.handle(at(0), list(3), &mut vec![]);
+    for m in &mut b.markets {
+        m.work = 0.01;
+    }
+    for k in 0..100 {
+        b.handle(at(1 + 10 * k), arrival(k, (k % 2) as u8), &mut vec![]);
+    }
+    assert!(share(&b, 0, 0) < 0.1, "bookings fill it: {:?}", b.markets[0].shares);
+    assert!((share(&b, 1, 0) - 1.0).abs() < 1e-3);
+    assert!((share(&b, 0, 1) - share(&b, 0, 2)).abs() < 0.1);
+}
+
+/// Etichete big-1-small: reports lag by most of a second, and a node with much of the traffic chose the busier
+/// servers. What it has out itself beyond the usual makes a server dearer at once.
+#[test]
+fn own_attempts_out_count_before_reports_do() {
+    let mut b = blind();
+    for k in 0..60 {
+        let server = sent(&mut b, at(k * 20), k).expect("sent");
+        b.handle(at(k * 20 + 10), ended(k, 0, server, Outcome::Served, None), &mut vec![]);
+    }
+    let held = b.servers[b.ready[0]].id;
+    let i = b.index[&held];
+    b.solved = None;
+    admission::refresh(&mut b, at(1200));
+    let before = share(&b, 0, held.0);
+    b.servers[i].out = vec![at(1200); 3];
+    b.solved = None;
+    admission::refresh(&mut b, at(1200));
+    assert!(share(&b, 0, held.0) < 0.7 * before, "{} from {before}", share(&b, 0, held.0));
+}
+
+/// Incident ia21743: new connections failed, open ones served on, and servers that nobody reached looked idle to
+/// probes. A server without an open connection is dearer, and later, by how often new ones fail.
+#[test]
+fn open_connections_count_where_new_ones_fail() {
+    let mut b = blind();
+    admission::refresh(&mut b, at(0));
+    let (near, far) = (b.servers[b.ready[0]].id, b.servers[b.ready[1]].id);
+    let k = b.index[&near];
+    b.servers[k].connected = Some(at(0));
+    b.solved = None;
+    admission::refresh(&mut b, at(50));
+    assert!((share(&b, 0, near.0) - share(&b, 0, far.0)).abs() < 1e-3, "as long as new ones succeed");
+    for id in 0..40 {
+        if let Some(server) = sent(&mut b, at(60), id).filter(|s| *s != near) {
+            b.handle(at(61), ended(id, 0, server, Outcome::Unreachable, None), &mut vec![]);
+        }
+    }
+    assert!(b.refused > 0.9);
+    for s in &mut b.servers {
+        (s.price, s.out) = (0.0, vec![]);
+    }
+    b.solved = None;
+    admission::refresh(&mut b, at(200));
+    assert!(share(&b, 0, near.0) > 3.0 * share(&b, 0, far.0), "{:?}", b.markets[0].shares);
+    // Once the connection has surely closed it is as far as the others.
+    admission::refresh(&mut b, at(70_000));
+    let (near, far) = (share(&b, 0, near.0), share(&b, 0, far.0));
+    assert!(b.refused < 0.1 && near < 2.0 * far, "{} {near} {far} {:?}", b.refused, b.markets[0].shares);
+}
+
+/// The design on the ordinary path, for a small and a large fleet: prices move by the projected step on the reported
+/// load, draws follow the solved shares, and the work for a request is bounded: shares are solved once a tick.
+#[test]
+fn the_ordinary_path_follows_prices_and_shares() {
+    for servers in [6u32, 300] {
+        let settings = Settings { nodes: 1, weights_given: true, ..settings() };
+        let mut b = Balancer::new(settings, 7, at(0)).expect("sound settings");
+        b.handle(at(0), list(servers), &mut vec![]);
+        let (mut drawn, mut meant) = (vec![0.0; servers as usize], vec![0.0; servers as usize]);
+        let (mut solved, mut last) = (0, None);
+        for k in 0..40_000u64 {
+            let now = at(k / 4);
+            for s in 0..servers {
+                if k % 400 == 0 {
+                    market::report(&mut b, now, ServerId(s), &report(0.4 + 0.4 * f64::from(s % 2), 1000.0));
+                }
+            }
+            let server = sent(&mut b, now, k).expect("nothing is refused");
+            solved += u32::from(std::mem::replace(&mut last, b.solved) != b.solved);
+            drawn[server.0 as usize] += 1.0;
+            for (&i, share) in b.ready.iter().zip(&b.markets[0].shares) {
+                meant[b.servers[i].id.0 as usize] += share / f64::from(servers);
+            }
+            b.handle(now, ended(k, 0, server, Outcome::Served, None), &mut vec![]);
+        }
+        // Ten seconds of ticks, however many requests and servers.
+        assert!(solved <= 201, "{solved} solutions for {servers} servers");
+        for s in 0..servers as usize {
+            let noise = 5.0 * meant[s].sqrt() + 5.0;
+            assert!((drawn[s] - meant[s]).abs() < noise, "server {s}: {} for {}", drawn[s], meant[s]);
+        }
+        let price = |s: u32| b.servers[b.index[&ServerId(s)]].price;
+        assert!(price(1) > 0.05 && price(0) == 0.0, "{} {}", price(1), price(0));
+    }
+}
--- /dev/null
+++ b/src/policy/tests/probes.rs
@@ -0,0 +1,98 @@
+//! What is asked, and what the answers make of it.
+
+use super::super::helpers::*;
+use super::*;
+use crate::interface::*;
+use std::time::Duration;
+
+#[test]
+fn probed_choice_takes_the_idlest_and_refuses_the_hopeless() {
+    let probing = Settings { reports: Reports::ByProbe, reports_rate: false, may_probe: true, ..settings() };
+    let probed = |held: &dyn Fn(usize) -> f64| {
+        let mut b = Balancer::new(probing.clone(), 5, at(0)).expect("sound settings");
+        let mut actions = vec![];
+        b.handle(at(0), list(8), &mut actions);
+        let work = Some(ms(100));
+        let (request, class, tenant) = (RequestId(1), ClassId(1), TenantId(0));
+        b.handle(
+            at(1),
+            Event::Arrival(Arrival { request, class, tenant, remaining: ms(900), work }),
+            &mut actions,
+        );
+        let asked: Vec<ServerId> = actions
+            .iter()
+            .filter_map(|a| if let Action::Probe { server } = a { Some(*server) } else { None })
+            .collect();
+        assert_eq!(asked.len(), PROBES);
+        actions.clear();
+        for (k, server) in asked.iter().enumerate() {
+            let report = Some(LoadReport { held: Some(held(k)), ..report(0.5, 0.0) });
+            let p = Probed { server: *server, outcome: Outcome::Served, latency: ms(1), report };
+            b.handle(at(2), Event::Probed(p), &mut actions);
+        }
+        (asked, actions)
+    };
+    let (asked, actions) = probed(&|k| if k == 3 { 0.0 } else { 2.0 });
+    assert!(matches!(actions[..], [Action::Send { server, .. }] if server == asked[3]), "{actions:?}");
+    let (_, actions) = probed(&|_| 9.0);
+    assert!(matches!(actions[..], [Action::Refuse { .. }]), "{actions:?}");
+}
+
+/// An estimated wait is an average, and what is late by a little is worth nothing and still takes its room. A request's own
+/// work is no such guess: at an idle server a heavy one can be in time.
+#[test]
+fn long_waits_are_taken_for_longer() {
+    let probing = Settings { reports: Reports::ByProbe, reports_rate: false, may_probe: true, ..settings() };
+    let aim = probing.classes[1].aim;
+    let decided = |work: Duration, held: f64| {
+        let mut b = Balancer::new(probing.clone(), 5, at(0)).expect("sound settings");
+        let mut actions = vec![];
+        b.handle(at(0), list(3), &mut actions);
+        let (request, class, tenant) = (RequestId(1), ClassId(1), TenantId(0));
+        let arrival = Arrival { request, class, tenant, remaining: 2 * aim, work: Some(work) };
+        b.handle(at(1), Event::Arrival(arrival), &mut actions);
+        actions.clear();
+        for server in 0..3 {
+            let report = Some(LoadReport { held: Some(held), ..report(0.5, 0.0) });
+            let p = Probed { server: ServerId(server), outcome: Outcome::Served, latency: ms(1), report };
+            b.handle(at(2), Event::Probed(p), &mut actions);
+        }
+        actions
+    };
+    let sent = |work, held| matches!(decided(work, held)[..], [Action::Send { .. }]);
+    assert!(sent(aim.mul_f64(0.95), 0.0));
+    assert!(sent(aim / 10, 7.0));
+    assert!(!sent(aim / 10, 8.5));
+}
+
+/// A probe costs the server and the node, and is no use where its answer is known. What the node itself has sent since is
+/// not in that answer and must be counted in, or all requests of a moment go to one server.
+#[test]
+fn what_was_just_heard_is_not_asked_again() {
+    let probing = Settings { reports: Reports::ByProbe, reports_rate: false, may_probe: true, ..settings() };
+    let mut b = Balancer::new(probing, 5, at(0)).expect("sound settings");
+    let mut actions = vec![];
+    b.handle(at(0), list(3), &mut actions);
+    let arrive = |b: &mut Balancer, now, id| {
+        let (request, class, tenant) = (RequestId(id), ClassId(1), TenantId(0));
+        let arrival = Arrival { request, class, tenant, remaining: ms(900), work: Some(ms(100)) };
+        let mut actions = vec![];
+        b.handle(now, Event::Arrival(arrival), &mut actions);
+        actions
+    };
+    let probes = |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::Probe { .. })).count();
+    assert_eq!(probes(&arrive(&mut b, at(1), 1)), 3);
+    assert_eq!(probes(&arrive(&mut b, at(1), 2)), 0, "asked already");
+    actions.clear();
+    for server in 0..3 {
+        let report = Some(LoadReport { held: Some(0.0), ..report(0.1, 0.0) });
+        let p = Probed { server: ServerId(server), outcome: Outcome::Served, latency: ms(1), report };
+        b.handle(at(2), Event::Probed(p), &mut actions);
+    }
+    actions.extend(arrive(&mut b, at(3), 3));
+    let sent = |a: &Action| if let Action::Send { server, .. } = a { Some(*server) } else { None };
+    let mut sent: Vec<_> = actions.iter().filter_map(sent).collect();
+    sent.sort();
+    assert_eq!(sent, [ServerId(0), ServerId(1), ServerId(2)], "{actions:?}");
+    assert_eq!(probes(&arrive(&mut b, at(3000), 4)), 3, "heard too long ago");
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,6 @@
 //! What the decision module remembers: plain data, no decisions.
 
 use crate::interface::*;
-use crate::logic::{placed, PART_WINDOW, RATE_WINDOW, REPORT_LIFE, RETRY_MOST, TENANT_WINDOW};
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rustc_hash::FxHashMap;
@@ -111,6 +110,12 @@
         (rules.cold_from + (1.0 - rules.cold_from) * age).min(1.0)
     }
 
+    /// Whether a class may ever go there: its placement, by zone and kind.
+    pub(crate) fn may_serve(&self, class: &Class) -> bool {
+        class.zones.as_ref().is_none_or(|open| open.contains(&self.zone))
+            && class.kinds.as_ref().is_none_or(|open| open.contains(&self.kind))
+    }
+
     /// Whether a connection is surely open still.
     pub(crate) fn connected(&self, now: Time, idle: Duration) -> bool {
         self.connected.is_some_and(|at| now < at + idle)
@@ -214,8 +219,9 @@
 }
 
 impl Market {
-    fn new(now: Time, leader: usize) -> Self {
-        let (shares, worths, arrivals) = (Vec::new(), VecDeque::new(), Rate::new(now, RATE_WINDOW));
+    /// A market whose rates forget within `window` seconds and, where they should be steady, within `long`.
+    pub(crate) fn new(now: Time, leader: usize, [window, long]: [f64; 2]) -> Self {
+        let (shares, worths, arrivals) = (Vec::new(), VecDeque::new(), Rate::new(now, window));
         Market {
             shares,
             open: 0.0,
@@ -227,7 +233,7 @@
             worths,
             leader,
             arrivals,
-            steady: Rate::new(now, PART_WINDOW),
+            steady: Rate::new(now, long),
         }
     }
 
@@ -283,44 +289,6 @@
 }
 
 impl Balancer {
-    /// Starts with no servers and no requests.
-    pub fn new(settings: Settings, seed: u64, now: Time) -> Result<Self, SettingsError> {
-        settings.check()?;
-        let aims = settings.classes.iter().map(|c| c.aim.as_secs_f64());
-        let same = |a: &Class, b: &Class| a.zones == b.zones && a.kinds == b.kinds;
-        let leader = |c: &Class| settings.classes.iter().position(|other| same(other, c)).unwrap_or(0);
-        Ok(Balancer {
-            salt: seed.rotate_left(32),
-            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
-            servers: Vec::new(),
-            index: FxHashMap::default(),
-            ready: Vec::new(),
-            markets: settings.classes.iter().map(|c| Market::new(now, leader(c))).collect(),
-            mean_price: 0.0,
-            going_price: 0.0,
-            mean_load: 0.0,
-            mean_speed: 1.0,
-            solved: None,
-            requests: FxHashMap::default(),
-            choosing: Vec::new(),
-            next_timer: 0,
-            list_timer: None,
-            latency: (aims.fold(f64::MAX, f64::min) / 2.0).max(1e-3),
-            probe_latency: 0.003,
-            refused: 0.0,
-            report_life: REPORT_LIFE,
-            usual_held: UsualHeld::default(),
-            blind: !settings.reports_rate && settings.reports != Reports::ByProbe,
-            mean_work: 0.0,
-            sends: Rate::new(now, RATE_WINDOW),
-            part: 1.0 / f64::from(settings.nodes),
-            began: now,
-            further: RETRY_MOST,
-            tenants: settings.tenants.iter().map(|_| Rate::new(now, TENANT_WINDOW)).collect(),
-            settings,
-        })
-    }
-
     /// Brings the servers in line with a list or with changes to it.
     pub(crate) fn take_list(&mut self, now: Time, kind: ListKind, entries: &[ServerEntry]) {
         if kind != ListKind::Changes {
@@ -352,24 +320,9 @@
         self.ready.sort_by_key(|&i| self.servers[i].rank);
     }
 
-    /// Learns this node's part of all traffic from its own sends and the rates that servers report.
-    pub(crate) fn learn_part(&mut self, now: Time, dt: f64) {
-        let usual = self.mean_speed * self.mean_load.min(1.0);
-        let rates = self.ready.iter().map(|&i| self.servers[i].rate);
-        let taken: f64 = rates.map(|r| if r > 0.0 { r } else { usual }).sum();
-        let sent = self.sends.add(now, 0.0);
-        // Only while nothing is refused do sends and reported rates describe the same traffic.
-        if self.markets.iter().all(|m| m.toll == 0.0)
-            && taken > 0.0
-            && (now - self.began).as_secs_f64() > 4.0 * RATE_WINDOW
-        {
-            self.part += (sent / taken - self.part) * (dt / PART_WINDOW).min(1.0);
-        }
-    }
-
     /// Ready servers open to each class, as positions in `ready`, in this node's order.
     pub(crate) fn placed(&self) -> Vec<Vec<usize>> {
-        let open = |c| (0..self.ready.len()).filter(|&k| placed(c, &self.servers[self.ready[k]])).collect();
+        let open = |c| (0..self.ready.len()).filter(|&k| self.servers[self.ready[k]].may_serve(c)).collect();
         self.settings.classes.iter().map(open).collect()
     }
 
