--- a/src/policy/cold.rs
+++ b/src/policy/cold.rs
@@ -1,8 +1,8 @@
 //! Cold starts: what a server that has just started may be given, by this node's part of all.
 //!
 //! A server starts with a part of its capacity and gains the rest evenly. Given more than a stated multiple
-//! of what it can do, over a stated time, it falls over. Nodes don't talk to each other: each keeps its share of
-//! the requests so low that all together stay inside the budget, chance included.
+//! of what it can do, over a stated time, it falls over. Nodes don't talk to each other: each keeps its share
+//! of the requests so low that all together stay inside the budget, chance included.
 
 use crate::interface::Rules;
 
