Admission by the chance of being in time; servers ranked by what attempts met there

And the best of five probed servers was whoever held least, so that one that turns all away at once (a drain that nobody has been told of) looked idle and won; three attempts met three of them. A node meets each server too seldom to learn it one by one.

Change: a room of its own (estimate.rs) says what an attempt would come to: the wait with what its spread is, what answers took beyond what was told, what is overdue, and how often servers that look idle have turned away or failed of late. A request is let in from a least chance of being in time that is low while servers have room and high when they are full.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -1,5 +1,6 @@
 //! What is let in: each request's worth against a toll that turns away the least worth when servers are full.
 
+use super::estimate;
 use super::market::{self, Solved, EXCESS, OVERDUE};
 use crate::interface::{Arrival, ClassId, Ended, Outcome, TenantId, Time};
 use crate::state::Balancer;
@@ -10,6 +11,8 @@
 const SHED_TIME: f64 = 0.5; // s that one attempt speaks for, at most
 const SHED_MOST: f64 = 0.98; // the rest goes on asking whether servers are well again
 const RECOVER: f64 = 24.0; // s in which shedding drifts back by itself, for when nothing is sent
+const SPARE: [f64; 2] = [0.8, 1.5]; // mean load up to which servers have room, and from which they have none
+const LEAST_CHANCE: [f64; 2] = [0.1, 0.85]; // least chance up to there, and where all servers are full
 const WORTHS: usize = 64; // recent arrivals whose worths set the toll
 
 /// Brings prices, shares and the tolls that follow from them up to date, once a tick, when a draw is due.
@@ -35,7 +38,8 @@
     let toll = b.markets[b.markets[usize::from(class.0)].leader].toll;
     // Work beyond the aim can only be late, and takes room from work that can be in time.
     let work = a.work.map(|w| w.as_secs_f64());
-    let hopeless = work.is_some_and(|w| w > b.aim(class, work));
+    let idle = |w| estimate::alone(w).in_time(w, b.aim(class, work));
+    let hopeless = work.is_some_and(|w| idle(w) < least_chance(b));
     if let (Some(w), false) = (work, hopeless) {
         b.markets[usize::from(class.0)].learn_work(w);
         b.mean_work += (w - b.mean_work) * if b.mean_work > 0.0 { 1.0 / 32.0 } else { 1.0 };
@@ -59,6 +63,13 @@
     }
 }
 
+/// The least chance of being in time for which a request is given a server: whatever has any while servers
+/// stand idle, and only what surely makes it when they are full.
+pub(crate) fn least_chance(b: &Balancer) -> f64 {
+    let scarce = ((b.mean_load - SPARE[0]) / (SPARE[1] - SPARE[0])).clamp(0.0, 1.0);
+    LEAST_CHANCE[0] + (LEAST_CHANCE[1] - LEAST_CHANCE[0]) * scarce
+}
+
 /// Sets the toll that turns away the part of recent arrivals that shares leave without a place.
 fn clear(b: &mut Balancer, class: usize, refused: f64) {
     let m = &mut b.markets[class];
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -75,11 +75,21 @@
     let s = &mut b.servers[i];
     let fresh = !s.connected(now, b.settings.conn_idle);
     s.out.push(now);
-    s.held = s.held.map(|held| held + 1.0);
+    let told = s.held;
+    s.held = told.map(|held| held + 1.0);
     b.sends.add(now, 1.0);
     b.markets[usize::from(r.class.0)].steady.add(now, 1.0);
     let (server, zone, cell) = (s.id, s.zone, s.cell);
-    r.attempts.push(Attempt { server, zone, cell, sent: now, ended: false, may_have_run: false, fresh });
+    r.attempts.push(Attempt {
+        server,
+        zone,
+        cell,
+        sent: now,
+        ended: false,
+        may_have_run: false,
+        fresh,
+        told,
+    });
     actions.push(Action::Send { request: id, server, limit: Some(r.ends - now) });
 }
 
@@ -91,8 +101,12 @@
 /// Whether class, time and the retry budget allow another attempt; the budget keeps collapses unfed.
 pub(crate) fn again(b: &Balancer, now: Time, r: &Request) -> bool {
     let left = b.aim(r.class, r.work) - (now - r.arrived).as_secs_f64();
-    let tries = (r.attempts.len() as u32) < b.settings.max_attempts;
-    !(left < 0.5 * b.latency || r.ends <= now || !tries || b.further < 1.0)
+    !(left < 0.5 * b.latency || r.ends <= now || !more(b, r, 0))
+}
+
+/// Whether number and budget allow another attempt, after so many that are not yet sent.
+pub(crate) fn more(b: &Balancer, r: &Request, coming: u32) -> bool {
+    r.attempts.len() as u32 + coming < b.settings.max_attempts && b.further >= 1.0 + f64::from(coming)
 }
 
 /// The final answer of a request that is given up: refused where that is true to its class, else failed.
--- /dev/null
+++ b/src/policy/estimate.rs
@@ -0,0 +1,126 @@
+//! Estimates: what an attempt at a server would come to, as far as this node can tell.
+//!
+//! A report says what a server holds. Whether it takes what it is sent, and how much longer than told an
+//! answer takes, only attempts tell. A server that turns everything away looks idle, and a node meets each
+//! server too seldom to learn that of each: so it also keeps, for all servers that look idle together, how
+//! often they have turned away or failed of late.
+
+use crate::interface::{Ended, Outcome, Time};
+use crate::state::{Attempt, Balancer, Request, Server, Trust};
+
+const RESIDUAL: f64 = 0.75; // part of a job's work that is left, on average, when another comes
+const SPREAD: f64 = 0.7; // of the work of others, as a part of its mean
+const HINT_SPREAD: f64 = 0.3; // of a request's work about its hint, likewise
+const UNHINTED_SPREAD: f64 = 1.0; // ... and about the mean, where there is no hint
+const TRUST_STEP: f64 = 0.125; // weight of one attempt in what is thought of all servers that look alike
+const TRUST_FADES: f64 = 6.0; // s in which that is forgotten
+const MET_FADES: f64 = 4.0; // s in which what an attempt met at one server is forgotten
+const SURPRISE_STEP: f64 = 0.5; // weight of one answer's surprise at its server
+const AGAIN: f64 = 0.8; // part of a request's worth that is left once a server has turned it away
+
+/// What an attempt would come to.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Estimate {
+    /// Seconds before work on it begins.
+    pub wait: f64,
+    /// Seconds by which that may be out (standard deviation), its own work's included.
+    pub spread: f64,
+    /// Chance that it is turned away unseen.
+    pub turned: f64,
+    /// Chance that it fails otherwise.
+    pub failed: f64,
+}
+
+impl Estimate {
+    /// The chance that so much work is done within so many seconds, once the server takes it (logistic for
+    /// normal).
+    pub(crate) fn in_time(&self, work: f64, within: f64) -> f64 {
+        let z = (within - self.wait - work) / self.spread.max(1e-6);
+        1.0 / (1.0 + (-1.7 * z).exp())
+    }
+
+    /// Seconds by which to rank servers: the wait, and for the chance that it comes to nothing a part of the
+    /// aim.
+    pub(crate) fn cost(&self, aim: f64, again: bool) -> f64 {
+        let lost = self.failed + self.turned * if again { 1.0 - AGAIN } else { 1.0 };
+        self.wait + aim * lost
+    }
+}
+
+/// What an attempt of this request at a server that holds so many would come to.
+pub(crate) fn estimate(b: &Balancer, now: Time, r: &Request, s: &Server, held: f64) -> Estimate {
+    let usual = trust(b, now, held);
+    let fade = faded(now, s.met, MET_FADES);
+    // What this server did last counts for a while, what all like it did, after that.
+    let chance = |own: fn(&Trust) -> f64, all| s.met.as_ref().map_or(0.0, own) * fade + all * (1.0 - fade);
+    let shut = match s.connected(now, b.settings.conn_idle) {
+        true => 0.0,
+        false => b.refused * b.settings.connect_timeout.as_secs_f64(),
+    };
+    // What it owes this node for longer than it should stands still, or is far behind.
+    let expected = b.mean_work * (1.0 + held);
+    let overdue = s.out.first().map_or(0.0, |&sent| ((now - sent).as_secs_f64() - 2.0 * expected).max(0.0));
+    let ahead = (held - 1.0 + RESIDUAL).max(0.0);
+    let (work, spread) = match r.work {
+        Some(work) => (work, HINT_SPREAD),
+        None => (b.mean_work, UNHINTED_SPREAD),
+    };
+    Estimate {
+        wait: ahead * b.mean_work + shut + overdue + s.surprise * fade,
+        spread: (ahead * (SPREAD * b.mean_work).powi(2) + (spread * work).powi(2)).sqrt(),
+        turned: chance(|t| t.turned, usual.0),
+        failed: chance(|t| t.failed, usual.1),
+    }
+}
+
+/// The same at an idle server of which nothing is known.
+pub(crate) fn alone(work: f64) -> Estimate {
+    Estimate { wait: 0.0, spread: HINT_SPREAD * work, turned: 0.0, failed: 0.0 }
+}
+
+/// How often servers that look like this one have turned away and failed.
+fn trust(b: &Balancer, now: Time, held: f64) -> (f64, f64) {
+    let known = b.trust[usize::from(held >= 1.0)];
+    let fade = faded(now, known, TRUST_FADES);
+    known.map_or((0.0, 0.0), |t| (t.turned * fade, t.failed * fade))
+}
+
+/// What is left of what was learnt then, as a part; nothing of what was never learnt.
+fn faded(now: Time, known: Option<Trust>, time: f64) -> f64 {
+    known.map_or(0.0, |t| (-(now - t.at).as_secs_f64() / time).exp())
+}
+
+/// Learns from how an attempt ended.
+pub(crate) fn learn(b: &mut Balancer, now: Time, end: &Ended, a: &Attempt, work: Option<f64>) {
+    let (turned, failed) = match end.outcome {
+        Outcome::NotSent | Outcome::Cancelled => return,
+        Outcome::Served => (0.0, 0.0),
+        Outcome::TurnedAway => (1.0, 0.0),
+        Outcome::Unreachable => (1.0, 0.0),
+        Outcome::Error | Outcome::Broken => (0.0, 1.0),
+        Outcome::TimedOut => (0.0, 0.0),
+    };
+    let mean_work = b.mean_work;
+    if let Some(&i) = b.index.get(&end.server) {
+        let s = &mut b.servers[i];
+        let fade = faded(now, s.met, MET_FADES);
+        let slow = matches!(end.outcome, Outcome::Served | Outcome::TimedOut);
+        if let (Some(held), true) = (a.told, slow) {
+            let expected = (held - 1.0 + RESIDUAL).max(0.0) * mean_work + work.unwrap_or(mean_work);
+            let surprise = (end.latency.as_secs_f64() - expected).max(0.0);
+            s.surprise = s.surprise * fade * (1.0 - SURPRISE_STEP) + surprise * SURPRISE_STEP;
+        }
+        s.met = Some(Trust { turned, failed, at: now });
+    }
+    let Some(held) = a.told else { return };
+    let (was_turned, was_failed) = trust(b, now, held);
+    b.trust[usize::from(held >= 1.0)] = Some(Trust {
+        turned: was_turned + (turned - was_turned) * TRUST_STEP,
+        failed: was_failed + (failed - was_failed) * TRUST_STEP,
+        at: now,
+    });
+}
+
+#[cfg(test)]
+#[path = "tests/estimate.rs"]
+mod tests;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,11 +8,13 @@
 //! | [`attempts`] | which server a request goes to, whether it goes again |
 //! | [`admission`] | what is turned away at the door |
 //! | [`market`] | prices and shares |
+//! | [`estimate`] | what an attempt at a server would come to |
 //! | [`cold`] | what a server that has just started may get |
 
 mod admission;
 mod attempts;
 mod cold;
+mod estimate;
 mod market;
 mod probes;
 
@@ -61,6 +63,7 @@
             part: 1.0 / f64::from(settings.nodes),
             began: now,
             further: attempts::RETRY_MOST,
+            trust: Default::default(),
             tenants: settings.tenants.iter().map(|_| Rate::new(now, admission::TENANT_WINDOW)).collect(),
             settings,
         })
@@ -141,7 +144,7 @@
     let Some(a) = r.attempts.get_mut(end.attempt as usize).filter(|a| !a.ended) else { return };
     a.ended = true;
     a.may_have_run = !end.outcome.never_ran();
-    let (server, sent, fresh) = (a.server, a.sent, a.fresh);
+    let (server, sent, fresh, attempt) = (a.server, a.sent, a.fresh, *a);
     r.open &= !end.closed;
     let (streamed, over) = (r.begun, !r.open || !r.idle());
     let (class, work) = (r.class, r.work);
@@ -150,6 +153,7 @@
     if let (Outcome::Served, None) = (end.outcome, work) {
         b.markets[usize::from(class.0)].learn_work(end.latency.as_secs_f64());
     }
+    estimate::learn(b, now, end, &attempt, work);
     admission::met(b, now, end, class, work);
     match end.outcome {
         Outcome::Served if !streamed => market::answered(b, now, server, end.latency.as_secs_f64()),
--- a/src/policy/probes.rs
+++ b/src/policy/probes.rs
@@ -1,11 +1,11 @@
 //! Probes: a few servers, drawn by share, are asked for their load before one is chosen.
 
-use super::{attempts, market};
+use super::estimate::estimate;
+use super::{admission, attempts, market};
 use crate::interface::{Action, Outcome, Probed, RequestId, ServerState, Time};
 use crate::state::Balancer;
 
 const PROBES: usize = 5; // for one request: each adds to the chance of an idle server, and to the bill
-const IN_TIME: f64 = 0.85; // estimated over real waits at their worst: others' work and speeds vary
 const FRESH: f64 = 0.3; // latencies for which a probe's answer, own sends since counted in, needs no other
 const PROBE_WAIT: f64 = 4.0; // usual probes' times for which answers are waited for
 
@@ -80,17 +80,16 @@
         let (load, &i) = (a.1.filter(|l| l.is_finite())?, b.index.get(&a.0)?);
         Some((b.servers[i].held.unwrap_or(load), i))
     });
-    let shut = b.refused * b.settings.connect_timeout.as_secs_f64();
+    let Some(r) = b.requests.get(&id) else { return };
+    let (aim, again) = (b.aim(class, Some(work)), attempts::more(b, r, 1));
+    let elapsed = (now - r.arrived).as_secs_f64();
     let best = answers
         .filter(|found| b.servers[found.1].state == ServerState::Ready)
-        .map(|(load, i)| {
-            let open = b.servers[i].connected(now, b.settings.conn_idle);
-            (load * b.mean_work + if open { 0.0 } else { shut }, i)
-        })
-        .min_by(|a, b| a.0.total_cmp(&b.0));
+        .map(|(held, i)| (estimate(b, now, r, &b.servers[i], held), i))
+        .min_by(|x, y| x.0.cost(aim, again).total_cmp(&y.0.cost(aim, again)));
     let server = match best {
         // What would be answered too late only takes room from work that can still be in time.
-        Some((wait, _)) if wait / IN_TIME + work > b.aim(class, Some(work)) => None,
+        Some((e, _)) if e.in_time(work, aim - elapsed) < admission::least_chance(b) => None,
         Some((_, i)) => Some(i),
         None => attempts::draw(b, now, id, false),
     };
--- a/src/policy/tests/admission.rs
+++ b/src/policy/tests/admission.rs
@@ -10,6 +10,19 @@
     end
 }
 
+/// Served from nothing, the least worth of the longest: what has next to no chance takes room from what has.
+#[test]
+fn the_least_chance_rises_with_the_load() {
+    let mut b = balancer(2);
+    let mut at_load = |load| {
+        b.mean_load = load;
+        least_chance(&b)
+    };
+    assert!(at_load(0.3) < 0.2 && at_load(0.3) == at_load(0.6));
+    assert!(at_load(1.1) > at_load(0.9));
+    assert!(at_load(3.0) > 0.8 && at_load(3.0) < 1.0);
+}
+
 #[test]
 fn tolls_turn_away_the_least_worth_first() {
     let mut b = balancer(2);
--- a/src/state.rs
+++ b/src/state.rs
@@ -35,6 +35,16 @@
     }
 }
 
+/// How often attempts came to nothing of late, and when that was learnt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Trust {
+    /// Part turned away unseen.
+    pub turned: f64,
+    /// Part that failed otherwise.
+    pub failed: f64,
+    pub at: Time,
+}
+
 pub(crate) struct Server {
     pub id: ServerId,
     /// Place in this node's own order of servers.
@@ -73,6 +83,10 @@
     pub heard: Time,
     /// When the probe that is out was sent.
     pub probing: Option<Time>,
+    /// How the last attempt there ended.
+    pub met: Option<Trust>,
+    /// Seconds by which answers took longer than its reports let expect.
+    pub surprise: f64,
 }
 
 impl Server {
@@ -100,6 +114,8 @@
             held: None,
             heard: now,
             probing: None,
+            met: None,
+            surprise: 0.0,
         }
     }
 
@@ -149,6 +165,7 @@
     }
 }
 
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Attempt {
     pub server: ServerId,
     pub zone: ZoneId,
@@ -158,6 +175,8 @@
     pub may_have_run: bool,
     /// It needed a new connection.
     pub fresh: bool,
+    /// What the server held when it was chosen, as far as was told.
+    pub told: Option<f64>,
 }
 
 impl Attempt {
@@ -285,6 +304,8 @@
     pub(crate) part: f64,
     pub(crate) began: Time,
     pub(crate) further: f64,
+    /// How attempts ended at servers that looked idle, and at others.
+    pub(crate) trust: [Option<Trust>; 2],
     pub(crate) tenants: Vec<Rate>,
 }
 
