Cold starts: light requests by the speed that is sure, three of five probes, trust of their own

Only the first of five probes could be cold, a cold server's queue was counted at a warm one's speed, its share was bounded as if warm peers were full and all requests of mean work; and servers that look idle were judged as one kind, though old ones drain and new ones are sound.

Change: estimates count the speed that a cold server surely has; only what can be in time there goes there, so that more of it may; the bound keeps five standard deviations of chance free; three of five probes may be cold. Where answers come later than told by a mean work, two servers are compared and not five: by old news the best of many is the same one for all nodes.

--- a/crates/lab/src/book.rs
+++ b/crates/lab/src/book.rs
@@ -131,6 +131,8 @@
     pub capacity: f64,
     /// Worth over time.
     pub seconds: Vec<Second>,
+    /// The most of what a cold server bears that any was given; above 1 it was pushed over.
+    pub borne: f64,
     /// Rules broken.
     pub broken: Breaches,
     /// A digest of all that was sent and answered, in order: equal for equal runs.
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -30,6 +30,7 @@
     ("heavy", include_str!("../scenarios/heavy.toml")),
     ("tenant", include_str!("../scenarios/tenant.toml")),
     ("release", include_str!("../scenarios/release.toml")),
+    ("release-late", include_str!("../scenarios/release-late.toml")),
     ("death", include_str!("../scenarios/death.toml")),
     ("return", include_str!("../scenarios/return.toml")),
     ("half-hall", include_str!("../scenarios/half-hall.toml")),
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -13,6 +13,7 @@
 const RECOVER: f64 = 24.0; // s in which shedding drifts back by itself, for when nothing is sent
 const SPARE: [f64; 2] = [0.8, 1.5]; // mean load up to which servers have room, and from which they have none
 const LEAST_CHANCE: [f64; 2] = [0.1, 0.85]; // least chance up to there, and where all servers are full
+const WORKS: usize = 64; // recent arrivals whose works tell what is light
 const WORTHS: usize = 64; // recent arrivals whose worths set the toll
 
 /// Brings prices, shares and the tolls that follow from them up to date, once a tick, when a draw is due.
@@ -40,6 +41,10 @@
     let work = a.work.map(|w| w.as_secs_f64());
     let idle = |w| estimate::alone(w).in_time(w, b.aim(class, work));
     let hopeless = work.is_some_and(|w| idle(w) < least_chance(b));
+    if let Some(w) = work {
+        b.works.truncate(WORKS - 1);
+        b.works.push_front(w);
+    }
     if let (Some(w), false) = (work, hopeless) {
         b.markets[usize::from(class.0)].learn_work(w);
         b.mean_work += (w - b.mean_work) * if b.mean_work > 0.0 { 1.0 / 32.0 } else { 1.0 };
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -43,8 +43,10 @@
         if share <= 0.0 || r.asked.iter().any(|a| a.0 == s.id) || !open(b, now, r, s) {
             continue;
         }
-        let (list, sum) = match s.warmth(&b.settings.rules, now) < 1.0 {
-            true if warm_only => continue,
+        let warmth = s.warmth(&b.settings.rules, now);
+        let light = r.work.is_none_or(|work| cold::light(work, b.aim(r.class, r.work), warmth));
+        let (list, sum) = match warmth < 1.0 {
+            true if warm_only || !light => continue,
             true => (&mut cold, &mut cold_sum),
             false => (&mut warm, &mut warm_sum),
         };
@@ -76,6 +78,7 @@
     let fresh = !s.connected(now, b.settings.conn_idle);
     s.out.push(now);
     let told = s.held;
+    let cold = s.warmth(&b.settings.rules, now) < 1.0;
     s.held = told.map(|held| held + 1.0);
     b.sends.add(now, 1.0);
     b.markets[usize::from(r.class.0)].steady.add(now, 1.0);
@@ -89,6 +92,7 @@
         may_have_run: false,
         fresh,
         told,
+        cold,
     });
     actions.push(Action::Send { request: id, server, limit: Some(r.ends - now) });
 }
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -16,7 +16,7 @@
 const TRUST_FADES: f64 = 6.0; // s in which that is forgotten
 const MET_FADES: f64 = 4.0; // s in which what an attempt met at one server is forgotten
 const SURPRISE_STEP: f64 = 0.5; // weight of one answer's surprise at its server
-const AGAIN: f64 = 0.8; // part of a request's worth that is left once a server has turned it away
+const AGAIN: f64 = 0.5; // part of a request's worth that is left once a server has turned it away
 
 /// What an attempt would come to.
 #[derive(Clone, Copy, Debug)]
@@ -25,6 +25,8 @@
     pub wait: f64,
     /// Seconds by which that may be out (standard deviation), its own work's included.
     pub spread: f64,
+    /// The part of its speed that the server surely has.
+    pub pace: f64,
     /// Chance that it is turned away unseen.
     pub turned: f64,
     /// Chance that it fails otherwise.
@@ -35,21 +37,21 @@
     /// The chance that so much work is done within so many seconds, once the server takes it (logistic for
     /// normal).
     pub(crate) fn in_time(&self, work: f64, within: f64) -> f64 {
-        let z = (within - self.wait - work) / self.spread.max(1e-6);
+        let z = (within - self.wait - work / self.pace) / self.spread.max(1e-6);
         1.0 / (1.0 + (-1.7 * z).exp())
     }
 
-    /// Seconds by which to rank servers: the wait, and for the chance that it comes to nothing a part of the
-    /// aim.
-    pub(crate) fn cost(&self, aim: f64, again: bool) -> f64 {
+    /// Seconds by which to rank servers: until it is done, and a part of the aim for the chance that it is not.
+    pub(crate) fn cost(&self, work: f64, aim: f64, again: bool) -> f64 {
         let lost = self.failed + self.turned * if again { 1.0 - AGAIN } else { 1.0 };
-        self.wait + aim * lost
+        self.wait + work / self.pace + aim * lost
     }
 }
 
 /// What an attempt of this request at a server that holds so many would come to.
 pub(crate) fn estimate(b: &Balancer, now: Time, r: &Request, s: &Server, held: f64) -> Estimate {
-    let usual = trust(b, now, held);
+    let pace = s.warmth(&b.settings.rules, now).max(1e-3);
+    let usual = trust(b, now, alike(held, pace < 1.0));
     let fade = faded(now, s.met, MET_FADES);
     // What this server did last counts for a while, what all like it did, after that.
     let chance = |own: fn(&Trust) -> f64, all| s.met.as_ref().map_or(0.0, own) * fade + all * (1.0 - fade);
@@ -66,8 +68,9 @@
         None => (b.mean_work, UNHINTED_SPREAD),
     };
     Estimate {
-        wait: ahead * b.mean_work + shut + overdue + s.surprise * fade,
-        spread: (ahead * (SPREAD * b.mean_work).powi(2) + (spread * work).powi(2)).sqrt(),
+        pace,
+        wait: ahead * b.mean_work / pace + shut + overdue + s.surprise * fade,
+        spread: (ahead * (SPREAD * b.mean_work).powi(2) + (spread * work).powi(2)).sqrt() / pace,
         turned: chance(|t| t.turned, usual.0),
         failed: chance(|t| t.failed, usual.1),
     }
@@ -75,14 +78,23 @@
 
 /// The same at an idle server of which nothing is known.
 pub(crate) fn alone(work: f64) -> Estimate {
-    Estimate { wait: 0.0, spread: HINT_SPREAD * work, turned: 0.0, failed: 0.0 }
+    Estimate { pace: 1.0, wait: 0.0, spread: HINT_SPREAD * work, turned: 0.0, failed: 0.0 }
 }
 
-/// How often servers that look like this one have turned away and failed.
-fn trust(b: &Balancer, now: Time, held: f64) -> (f64, f64) {
-    let known = b.trust[usize::from(held >= 1.0)];
-    let fade = faded(now, known, TRUST_FADES);
-    known.map_or((0.0, 0.0), |t| (t.turned * fade, t.failed * fade))
+/// The kind of servers that such a one is judged with: one that has just started may look idle and be sound
+/// where old ones that look idle drain.
+fn alike(held: f64, cold: bool) -> usize {
+    if cold {
+        2
+    } else {
+        usize::from(held >= 1.0)
+    }
+}
+
+/// How often servers of a kind have turned away and failed.
+fn trust(b: &Balancer, now: Time, kind: usize) -> (f64, f64) {
+    let fade = faded(now, b.trust[kind], TRUST_FADES);
+    b.trust[kind].map_or((0.0, 0.0), |t| (t.turned * fade, t.failed * fade))
 }
 
 /// What is left of what was learnt then, as a part; nothing of what was never learnt.
@@ -108,13 +120,15 @@
         if let (Some(held), true) = (a.told, slow) {
             let expected = (held - 1.0 + RESIDUAL).max(0.0) * mean_work + work.unwrap_or(mean_work);
             let surprise = (end.latency.as_secs_f64() - expected).max(0.0);
+            b.surprise += (surprise - b.surprise) * TRUST_STEP;
             s.surprise = s.surprise * fade * (1.0 - SURPRISE_STEP) + surprise * SURPRISE_STEP;
         }
         s.met = Some(Trust { turned, failed, at: now });
     }
     let Some(held) = a.told else { return };
-    let (was_turned, was_failed) = trust(b, now, held);
-    b.trust[usize::from(held >= 1.0)] = Some(Trust {
+    let kind = alike(held, a.cold);
+    let (was_turned, was_failed) = trust(b, now, kind);
+    b.trust[kind] = Some(Trust {
         turned: was_turned + (turned - was_turned) * TRUST_STEP,
         failed: was_failed + (failed - was_failed) * TRUST_STEP,
         at: now,
--- a/src/policy/market.rs
+++ b/src/policy/market.rs
@@ -106,6 +106,8 @@
     let own_price = if b.blind { OWN } else { 0.0 };
     let own = b.ready.iter().map(|&i| &b.servers[i]);
     let (out, shares) = own.fold((0.0, 1e-9), |sum, s| (sum.0 + s.out.len() as f64, sum.1 + s.share));
+    let longest = b.settings.classes.iter().map(|c| c.aim.as_secs_f64()).fold(0.0, f64::max);
+    let budget = cold::Budget::new(&b.settings.rules, b.mean_load, &b.works, longest);
     let lines = b.ready.iter().map(|&i| {
         let s = &b.servers[i];
         let speed = if b.settings.weights_given {
@@ -123,7 +125,7 @@
         // A cold server falls over when all nodes together rush it: its share stays within a part of
         // what the rule allows it, measured by what a warm peer takes.
         let warmth = s.warmth(&b.settings.rules, now);
-        most = most.min(cold::most(&b.settings.rules, warmth));
+        most = most.min(budget.most(warmth));
         // Reports lag; what this node itself has out beyond the usual is known at once.
         let usual = out * s.share / shares;
         let price = s.price + own_price * (s.out.len() as f64 - usual) / (usual + 1.0);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -27,6 +27,7 @@
 use rand_core::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
 
 impl Balancer {
     /// Starts with no servers and no requests.
@@ -59,11 +60,13 @@
             usual_held: UsualHeld::default(),
             blind: !settings.reports_rate && settings.reports != Reports::ByProbe,
             mean_work: 0.0,
+            works: VecDeque::new(),
             sends: Rate::new(now, market::RATE_WINDOW),
             part: 1.0 / f64::from(settings.nodes),
             began: now,
             further: attempts::RETRY_MOST,
             trust: Default::default(),
+            surprise: 0.0,
             tenants: settings.tenants.iter().map(|_| Rate::new(now, admission::TENANT_WINDOW)).collect(),
             settings,
         })
--- a/src/policy/probes.rs
+++ b/src/policy/probes.rs
@@ -1,20 +1,23 @@
 //! Probes: a few servers, drawn by share, are asked for their load before one is chosen.
 
 use super::estimate::estimate;
-use super::{admission, attempts, market};
+use super::{admission, attempts, cold, market};
 use crate::interface::{Action, Outcome, Probed, RequestId, ServerState, Time};
 use crate::state::Balancer;
 
 const PROBES: usize = 5; // for one request: each adds to the chance of an idle server, and to the bill
+const MISLED: f64 = 1.0; // mean works by which answers come later than told, from which reports mislead ...
+const FEWEST: usize = 2; // ... and so few are compared: by old news the best of many is the same for all
 const FRESH: f64 = 0.3; // latencies for which a probe's answer, own sends since counted in, needs no other
 const PROBE_WAIT: f64 = 4.0; // usual probes' times for which answers are waited for
 
-/// Probes a few servers drawn by share; only the first may be cold, lest the best-of draw rush it. What
-/// was heard a moment ago, or is being asked already, is not asked again.
+/// Probes a few servers drawn by share; few of them cold, lest the best-of draw rush one. What was heard
+/// a moment ago, or is being asked already, is not asked again.
 pub(crate) fn ask(b: &mut Balancer, now: Time, id: RequestId, actions: &mut Vec<Action>) -> bool {
     let wait = PROBE_WAIT * b.probe_latency;
-    for k in 0..PROBES {
-        let Some(i) = attempts::draw(b, now, id, k > 0) else { break };
+    let most = if b.surprise > MISLED * b.mean_work { FEWEST } else { PROBES };
+    for k in 0..most {
+        let Some(i) = attempts::draw(b, now, id, k >= cold::PROBES) else { break };
         let s = &mut b.servers[i];
         let Some(r) = b.requests.get_mut(&id) else { break };
         let fresh = s.held.filter(|_| (now - s.heard).as_secs_f64() < FRESH * b.latency);
@@ -86,7 +89,7 @@
     let best = answers
         .filter(|found| b.servers[found.1].state == ServerState::Ready)
         .map(|(held, i)| (estimate(b, now, r, &b.servers[i], held), i))
-        .min_by(|x, y| x.0.cost(aim, again).total_cmp(&y.0.cost(aim, again)));
+        .min_by(|x, y| x.0.cost(work, aim, again).total_cmp(&y.0.cost(work, aim, again)));
     let server = match best {
         // What would be answered too late only takes room from work that can still be in time.
         Some((e, _)) if e.in_time(work, aim - elapsed) < admission::least_chance(b) => None,
--- a/src/state.rs
+++ b/src/state.rs
@@ -177,6 +177,8 @@
     pub fresh: bool,
     /// What the server held when it was chosen, as far as was told.
     pub told: Option<f64>,
+    /// The server was cold then.
+    pub cold: bool,
 }
 
 impl Attempt {
@@ -300,12 +302,16 @@
     /// Neither probes nor measured capacity tell how much the servers can still take.
     pub(crate) blind: bool,
     pub(crate) mean_work: f64,
+    /// Hinted works of recent requests, in seconds.
+    pub(crate) works: VecDeque<f64>,
     pub(crate) sends: Rate,
     pub(crate) part: f64,
     pub(crate) began: Time,
     pub(crate) further: f64,
-    /// How attempts ended at servers that looked idle, and at others.
-    pub(crate) trust: [Option<Trust>; 2],
+    /// How attempts ended at servers that looked idle, at busy ones, and at cold ones.
+    pub(crate) trust: [Option<Trust>; 3],
+    /// Seconds by which answers took longer than reports let expect, at all servers.
+    pub(crate) surprise: f64,
     pub(crate) tenants: Vec<Rate>,
 }
 
