--- a/src/policy/cold.rs
+++ b/src/policy/cold.rs
@@ -46,7 +46,7 @@
         Budget { rules, load, works, aim }
     }
 
-    /// The most of the requests that a server this warm may get, relative to the mean share; no bound once warm.
+    /// The most of the requests that such a server may get, relative to the mean share; no bound once warm.
     pub(crate) fn most(&self, warmth: f64) -> f64 {
         if warmth >= 1.0 {
             return f64::INFINITY;
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -41,7 +41,7 @@
         1.0 / (1.0 + (-1.7 * z).exp())
     }
 
-    /// Seconds by which to rank servers: until it is done, and a part of the aim for the chance that it is not.
+    /// Seconds by which to rank servers: until it is done, and a part of the aim where that is not sure.
     pub(crate) fn cost(&self, work: f64, aim: f64, again: bool) -> f64 {
         let lost = self.failed + self.turned * if again { 1.0 - AGAIN } else { 1.0 };
         self.wait + work / self.pace + aim * lost
