--- a/src/policy/tests/market.rs
+++ b/src/policy/tests/market.rs
@@ -279,3 +279,52 @@
         assert!(price(1) > 0.05 && price(0) == 0.0, "{} {}", price(1), price(0));
     }
 }
+
+/// The loop of prices, shares and reports that are `delay` old, on one server of eight: how far its price swings past the
+/// others' after a push of 0.1, and what is left of the swing after 40 s, as parts of the push.
+fn swing(delay: f64, load: f64) -> (f64, f64) {
+    const SERVERS: usize = 8;
+    let settings =
+        Settings { reports: Reports::ByProbe, reports_rate: false, weights_given: true, ..settings() };
+    let mut b = Balancer::new(settings, 7, at(0)).expect("sound settings");
+    b.handle(at(0), list(SERVERS as u32), &mut vec![]);
+    b.servers.iter_mut().for_each(|s| s.price = 0.25);
+    let late = (delay / TICK).round() as usize;
+    let mut shares = vec![[1.0; SERVERS]; late + 1];
+    let (mut past, mut left) = (0.0f64, 0.0f64);
+    let pushed = 200;
+    for k in 0..pushed + 1000 {
+        let now = at(50 * (k as u64 + 1));
+        for (s, share) in shares[k].into_iter().enumerate() {
+            market::report(&mut b, now, ServerId(s as u32), &report(load * share, 0.0));
+        }
+        admission::refresh(&mut b, now);
+        if k == pushed {
+            b.servers[0].price += 0.1;
+        }
+        shares.push(std::array::from_fn(|s| share(&b, 0, s as u32)));
+        let others = b.servers[1..].iter().map(|s| s.price).sum::<f64>() / (SERVERS - 1) as f64;
+        let off = (b.servers[0].price - others) / 0.1;
+        if k > pushed {
+            past = past.max(-off);
+        }
+        if k > pushed + 800 {
+            left = left.max(off.abs());
+        }
+    }
+    (past, left)
+}
+
+/// The linear argument of `docs/design/decisions.md`: with a = 4 ν u the loop x' = -a x(t - d) does not swing up to
+/// a d = 1/e and dies out up to π/2. The same on the real prices and shares, below, between and above.
+#[test]
+fn the_price_loop_is_damped_where_the_argument_says() {
+    let load = 0.5;
+    let delay = |ad: f64| ad / (4.0 * STEP * load) - TICK / 2.0;
+    let (past, left) = swing(delay(0.3), load);
+    assert!(past < 0.02 && left < 0.02, "no swing: {past} {left}");
+    let (past, left) = swing(delay(0.9), load);
+    assert!(past > 0.1 && left < 0.1, "swings and dies out: {past} {left}");
+    let (_, left) = swing(delay(2.0), load);
+    assert!(left > 0.5, "does not die out: {left}");
+}
