--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -178,6 +178,11 @@
         self.capacity.speed * self.warmth(now) * slow * crowded
     }
 
+    /// Whether somebody waits.
+    pub fn waits(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
     /// Whether it would take one more.
     pub fn has_room(&self) -> bool {
         !self.draining && !self.fallen && self.waiting.len() < self.capacity.queue
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -29,6 +29,8 @@
 
 /// Servers to which a subset balancer of a node keeps.
 pub const SUBSET: usize = 20;
+/// What an oracle allows a request to be late by its hint, as a part of its work: where nobody waits, and where all do.
+const ORACLE_SLACK: [f64; 2] = [0.33, -0.8];
 /// Seconds over which the latency of a peak EWMA is forgotten.
 const DECAY: f64 = 10.0;
 
@@ -367,9 +369,10 @@
         };
         let n = choice.servers.len();
         let best = (0..n).map(|k| (from + k) % n).min_by(|a, b| wait(*a).total_cmp(&wait(*b)))?;
-        // Work is a hint: what should be late by half of it may be in time still.
-        let late = choice.now + Duration::from_secs_f64(wait(best).min(1e6) * 0.67) > choice.aim;
-        (!late).then_some(best)
+        let held: u32 = together.out.values().map(|o| o.1).sum();
+        let crowded = (f64::from(held) / n as f64 - 1.0).clamp(0.0, 1.0);
+        let done = choice.now + Duration::from_secs_f64(wait(best).min(1e6));
+        worth_it(done, choice, crowded).then_some(best)
     }
 
     fn sent(&mut self, now: Time, server: ServerId, work: f64) {
@@ -401,8 +404,17 @@
         let done = |i: usize| hall.done(choice.now, choice.servers[i].server, choice.wanted.work());
         let all = (0..choice.servers.len()).filter_map(|i| Some((done(i)?, i)));
         let (at, best) = all.min()?;
-        // Work is a hint: what should be late by half of it may be in time still.
-        let slack = Duration::from_secs_f64(0.33 * choice.wanted.work());
-        (at <= choice.aim + slack).then_some(best)
+        worth_it(at, choice, hall.crowded()).then_some(best)
+    }
+}
+
+/// Whether an oracle lets a request in that should be done then. Work is a hint that may be too high or too low: while
+/// there is room, what should be late by a third of it is tried still; where many wait, only what surely makes it.
+fn worth_it(done: Time, choice: &Choice, crowded: f64) -> bool {
+    let margin = choice.wanted.work() * (ORACLE_SLACK[0] + (ORACLE_SLACK[1] - ORACLE_SLACK[0]) * crowded);
+    if margin >= 0.0 {
+        done <= choice.aim + Duration::from_secs_f64(margin)
+    } else {
+        done + Duration::from_secs_f64(-margin) <= choice.aim
     }
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -160,6 +160,13 @@
 }
 
 impl Hall {
+    /// The part of the servers up at which somebody waits.
+    pub(crate) fn crowded(&self) -> f64 {
+        let up = self.machines.iter().filter(|m| m.life == Life::Up);
+        let (all, waits) = up.fold((0, 0), |n, m| (n.0 + 1, n.1 + usize::from(m.model.waits())));
+        waits as f64 / f64::from(all.max(1))
+    }
+
     /// When this server would be done with so much work if it came now; None: it would not be served there.
     pub(crate) fn done(&self, now: Time, server: ServerId, work: f64) -> Option<Time> {
         let m = self.machines.get(server.0 as usize)?;
