Estimates: what is out for long or lost at a busy node is no server's wait

Change: that term is gone (prices still know hung servers), and late answers rank servers but no longer count for being in time.

--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -23,7 +23,9 @@
 pub(crate) struct Estimate {
     /// Seconds before work on it begins.
     pub wait: f64,
-    /// Seconds by which that may be out (standard deviation), its own work's included.
+    /// Seconds by which answers came later than told of late: it ranks, but one lost answer turns nobody away.
+    pub surprise: f64,
+    /// Seconds by which the wait may be out (standard deviation), its own work's included.
     pub spread: f64,
     /// The part of its speed that the server surely has.
     pub pace: f64,
@@ -44,7 +46,7 @@
     /// Seconds by which to rank servers: until it is done, and a part of the aim where that is not sure.
     pub(crate) fn cost(&self, work: f64, aim: f64, again: bool) -> f64 {
         let lost = self.failed + self.turned * if again { 1.0 - AGAIN } else { 1.0 };
-        self.wait + work / self.pace + aim * lost
+        self.wait + self.surprise + work / self.pace + aim * lost
     }
 }
 
@@ -59,9 +61,6 @@
         true => 0.0,
         false => b.refused * b.settings.connect_timeout.as_secs_f64(),
     };
-    // What it owes this node for longer than it should stands still, or is far behind.
-    let expected = b.mean_work * (1.0 + held);
-    let overdue = s.out.first().map_or(0.0, |&sent| ((now - sent).as_secs_f64() - 2.0 * expected).max(0.0));
     let ahead = (held - 1.0 + RESIDUAL).max(0.0);
     let (work, spread) = match r.work {
         Some(work) => (work, HINT_SPREAD),
@@ -69,7 +68,8 @@
     };
     Estimate {
         pace,
-        wait: ahead * b.mean_work / pace + shut + overdue + s.surprise * fade,
+        wait: ahead * b.mean_work / pace + shut,
+        surprise: s.surprise * fade,
         spread: (ahead * (SPREAD * b.mean_work).powi(2) + (spread * work).powi(2)).sqrt() / pace,
         turned: chance(|t| t.turned, usual.0),
         failed: chance(|t| t.failed, usual.1),
@@ -78,7 +78,7 @@
 
 /// The same at an idle server of which nothing is known.
 pub(crate) fn alone(work: f64) -> Estimate {
-    Estimate { pace: 1.0, wait: 0.0, spread: HINT_SPREAD * work, turned: 0.0, failed: 0.0 }
+    Estimate { pace: 1.0, wait: 0.0, surprise: 0.0, spread: HINT_SPREAD * work, turned: 0.0, failed: 0.0 }
 }
 
 /// The kind of servers that such a one is judged with: one that has just started may look idle and be sound
