--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -12,7 +12,9 @@
 const SPREAD: f64 = 0.7; // of the work of others, as a part of its mean
 const HINT_SPREAD: f64 = 0.3; // of a request's work about its hint, likewise
 const UNHINTED_SPREAD: f64 = 1.0; // ... and about the mean, where there is no hint
-const TRUST_STEP: f64 = 0.125; // weight of one attempt in what is thought of all servers that look alike
+const KIND_PRIOR: f64 = 8.0; // attempts that came to something, taken for known of each kind of servers
+const OWN_PRIOR: f64 = 0.2; // attempts for which what all of its kind did stands at one server
+const MISLED_STEP: f64 = 0.125; // weight of one answer in how much reports mislead
 const TRUST_FADES: f64 = 6.0; // s in which that is forgotten
 const MET_FADES: f64 = 4.0; // s in which what an attempt met at one server is forgotten
 const SURPRISE_STEP: f64 = 0.5; // weight of one answer's surprise at its server
@@ -23,7 +25,7 @@
 pub(crate) struct Estimate {
     /// Seconds before work on it begins.
     pub wait: f64,
-    /// Seconds by which answers came later than told of late: it ranks, but one lost answer turns nobody away.
+    /// Seconds by which answers came later than told: that ranks, but turns nobody away.
     pub surprise: f64,
     /// Seconds by which the wait may be out (standard deviation), its own work's included.
     pub spread: f64,
@@ -54,9 +56,9 @@
 pub(crate) fn estimate(b: &Balancer, now: Time, r: &Request, s: &Server, held: f64) -> Estimate {
     let pace = s.warmth(&b.settings.rules, now).max(1e-3);
     let usual = trust(b, now, alike(held, pace < 1.0));
-    let fade = faded(now, s.met, MET_FADES);
-    // What this server did last counts for a while, what all like it did, after that.
-    let chance = |own: fn(&Trust) -> f64, all| s.met.as_ref().map_or(0.0, own) * fade + all * (1.0 - fade);
+    // What this server did counts by how often it was tried of late, beside what all like it did.
+    let met = faded(now, s.met, MET_FADES);
+    let chance = |own: f64, all: f64| (own + all * OWN_PRIOR) / (met.count + OWN_PRIOR);
     let shut = match s.connected(now, b.settings.conn_idle) {
         true => 0.0,
         false => b.refused * b.settings.connect_timeout.as_secs_f64(),
@@ -69,10 +71,10 @@
     Estimate {
         pace,
         wait: ahead * b.mean_work / pace + shut,
-        surprise: s.surprise * fade,
+        surprise: s.surprise * fade(now, s.met.at, MET_FADES),
         spread: (ahead * (SPREAD * b.mean_work).powi(2) + (spread * work).powi(2)).sqrt() / pace,
-        turned: chance(|t| t.turned, usual.0),
-        failed: chance(|t| t.failed, usual.1),
+        turned: chance(met.turned, usual.0),
+        failed: chance(met.failed, usual.1),
     }
 }
 
@@ -93,13 +95,18 @@
 
 /// How often servers of a kind have turned away and failed.
 fn trust(b: &Balancer, now: Time, kind: usize) -> (f64, f64) {
-    let fade = faded(now, b.trust[kind], TRUST_FADES);
-    b.trust[kind].map_or((0.0, 0.0), |t| (t.turned * fade, t.failed * fade))
+    let t = faded(now, b.trust[kind], TRUST_FADES);
+    (t.turned / (t.count + KIND_PRIOR), t.failed / (t.count + KIND_PRIOR))
 }
 
-/// What is left of what was learnt then, as a part; nothing of what was never learnt.
-fn faded(now: Time, known: Option<Trust>, time: f64) -> f64 {
-    known.map_or(0.0, |t| (-(now - t.at).as_secs_f64() / time).exp())
+/// What is left after a while of what was learnt then, as a part.
+fn fade(now: Time, then: Time, time: f64) -> f64 {
+    (-(now - then).as_secs_f64() / time).exp()
+}
+
+fn faded(now: Time, t: Trust, time: f64) -> Trust {
+    let left = fade(now, t.at, time);
+    Trust { count: t.count * left, turned: t.turned * left, failed: t.failed * left, at: now }
 }
 
 /// Learns from how an attempt ended.
@@ -112,27 +119,24 @@
         Outcome::Error | Outcome::Broken => (0.0, 1.0),
         Outcome::TimedOut => (0.0, 0.0),
     };
+    let with =
+        |t: Trust| Trust { count: t.count + 1.0, turned: t.turned + turned, failed: t.failed + failed, ..t };
     let mean_work = b.mean_work;
     if let Some(&i) = b.index.get(&end.server) {
         let s = &mut b.servers[i];
-        let fade = faded(now, s.met, MET_FADES);
+        let left = fade(now, s.met.at, MET_FADES);
         let slow = matches!(end.outcome, Outcome::Served | Outcome::TimedOut);
         if let (Some(held), true) = (a.told, slow) {
             let expected = (held - 1.0 + RESIDUAL).max(0.0) * mean_work + work.unwrap_or(mean_work);
             let surprise = (end.latency.as_secs_f64() - expected).max(0.0);
-            b.surprise += (surprise - b.surprise) * TRUST_STEP;
-            s.surprise = s.surprise * fade * (1.0 - SURPRISE_STEP) + surprise * SURPRISE_STEP;
+            b.surprise += (surprise - b.surprise) * MISLED_STEP;
+            s.surprise = s.surprise * left * (1.0 - SURPRISE_STEP) + surprise * SURPRISE_STEP;
         }
-        s.met = Some(Trust { turned, failed, at: now });
+        s.met = with(faded(now, s.met, MET_FADES));
     }
     let Some(held) = a.told else { return };
     let kind = alike(held, a.cold);
-    let (was_turned, was_failed) = trust(b, now, kind);
-    b.trust[kind] = Some(Trust {
-        turned: was_turned + (turned - was_turned) * TRUST_STEP,
-        failed: was_failed + (failed - was_failed) * TRUST_STEP,
-        at: now,
-    });
+    b.trust[kind] = with(faded(now, b.trust[kind], TRUST_FADES));
 }
 
 #[cfg(test)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -36,11 +36,13 @@
 }
 
 /// How often attempts came to nothing of late, and when that was learnt.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Trust {
-    /// Part turned away unseen.
+    /// Attempts, each for less the longer ago it ended.
+    pub count: f64,
+    /// Of these, turned away unseen.
     pub turned: f64,
-    /// Part that failed otherwise.
+    /// Of these, failed otherwise.
     pub failed: f64,
     pub at: Time,
 }
@@ -83,8 +85,8 @@
     pub heard: Time,
     /// When the probe that is out was sent.
     pub probing: Option<Time>,
-    /// How the last attempt there ended.
-    pub met: Option<Trust>,
+    /// How attempts there ended.
+    pub met: Trust,
     /// Seconds by which answers took longer than its reports let expect.
     pub surprise: f64,
 }
@@ -114,7 +116,7 @@
             held: None,
             heard: now,
             probing: None,
-            met: None,
+            met: Trust::default(),
             surprise: 0.0,
         }
     }
@@ -309,7 +311,7 @@
     pub(crate) began: Time,
     pub(crate) further: f64,
     /// How attempts ended at servers that looked idle, at busy ones, and at cold ones.
-    pub(crate) trust: [Option<Trust>; 3],
+    pub(crate) trust: [Trust; 3],
     /// Seconds by which answers took longer than reports let expect, at all servers.
     pub(crate) surprise: f64,
     pub(crate) tenants: Vec<Rate>,
