Market: works are sorted for the cold budget only where a server is cold

Each solution of shares sorted recent works, also in a fleet that is all warm. The mean works that stand before a request are said once, in estimate.rs.

--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -448,7 +448,7 @@
             kinds: None,
         };
         let keyed = Effect::Keyed { group: Group::Cell, window: seconds(2.0) };
-        let all = self.rate(Size { servers: size.servers, ..size }) / self.load * 0.85;
+        let all = self.rate(size) / self.load * 0.85;
         Settings {
             nodes: size.nodes,
             zone: ZoneId(zone),
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -63,7 +63,7 @@
         true => 0.0,
         false => b.refused * b.settings.connect_timeout.as_secs_f64(),
     };
-    let ahead = (held - 1.0 + RESIDUAL).max(0.0);
+    let ahead = ahead(held);
     let (work, spread) = match r.work {
         Some(work) => (work, HINT_SPREAD),
         None => (b.mean_work, UNHINTED_SPREAD),
@@ -78,6 +78,11 @@
     }
 }
 
+/// Mean works that a request finds before it at a server that holds so many.
+fn ahead(held: f64) -> f64 {
+    (held - 1.0 + RESIDUAL).max(0.0)
+}
+
 /// The same at an idle server of which nothing is known.
 pub(crate) fn alone(work: f64) -> Estimate {
     Estimate { pace: 1.0, wait: 0.0, surprise: 0.0, spread: HINT_SPREAD * work, turned: 0.0, failed: 0.0 }
@@ -127,7 +132,7 @@
         let left = fade(now, s.met.at, MET_FADES);
         let slow = matches!(end.outcome, Outcome::Served | Outcome::TimedOut);
         if let (Some(held), true) = (a.told, slow) {
-            let expected = (held - 1.0 + RESIDUAL).max(0.0) * mean_work + work.unwrap_or(mean_work);
+            let expected = ahead(held) * mean_work + work.unwrap_or(mean_work);
             let surprise = (end.latency.as_secs_f64() - expected).max(0.0);
             b.surprise += (surprise - b.surprise) * MISLED_STEP;
             s.surprise = s.surprise * left * (1.0 - SURPRISE_STEP) + surprise * SURPRISE_STEP;
--- a/src/policy/market.rs
+++ b/src/policy/market.rs
@@ -8,6 +8,7 @@
 use super::cold;
 use crate::interface::{LoadReport, Outcome, ServerId, Time};
 use crate::state::{Balancer, Line};
+use std::cell::LazyCell;
 use std::time::Duration;
 
 // Seconds are s, loads are in capacities, prices and speeds relative to the fleet's mean.
@@ -106,8 +107,11 @@
     let own_price = if b.blind { OWN } else { 0.0 };
     let own = b.ready.iter().map(|&i| &b.servers[i]);
     let (out, shares) = own.fold((0.0, 1e-9), |sum, s| (sum.0 + s.out.len() as f64, sum.1 + s.share));
-    let longest = b.settings.classes.iter().map(|c| c.aim.as_secs_f64()).fold(0.0, f64::max);
-    let budget = cold::Budget::new(&b.settings.rules, b.mean_load, &b.works, longest);
+    // Works are sorted for it: only where a server is cold.
+    let budget = LazyCell::new(|| {
+        let longest = b.settings.classes.iter().map(|c| c.aim.as_secs_f64()).fold(0.0, f64::max);
+        cold::Budget::new(&b.settings.rules, b.mean_load, &b.works, longest)
+    });
     let lines = b.ready.iter().map(|&i| {
         let s = &b.servers[i];
         let speed = if b.settings.weights_given {
@@ -125,7 +129,9 @@
         // A cold server falls over when all nodes together rush it: its share stays within a part of
         // what the rule allows it, measured by what a warm peer takes.
         let warmth = s.warmth(&b.settings.rules, now);
-        most = most.min(budget.most(warmth));
+        if warmth < 1.0 {
+            most = most.min(budget.most(warmth));
+        }
         // Reports lag; what this node itself has out beyond the usual is known at once.
         let usual = out * s.share / shares;
         let price = s.price + own_price * (s.out.len() as f64 - usual) / (usual + 1.0);
