--- /dev/null
+++ b/crates/figures/src/lib.rs
@@ -0,0 +1,138 @@
+//! What a node counts about itself, in the text format that collectors read.
+//!
+//! One set is shared by all of a process's hosts, whatever their protocol. Names and labels are fixed, and the only label
+//! with values from outside is the class, of which the settings name at most 256: memory is bounded however long a
+//! node runs.
+//!
+//! | name | kind | of what |
+//! | --- | --- | --- |
+//! | `app_results{service, disposition}` | counter | requests that ended: `succeeded` (served), `declined` (refused), `aborted` (failed) |
+//! | `app_forwards` | counter | attempts whose last byte was handed to a server's connection |
+//! | `app_outstanding` | gauge | requests taken and not ended |
+//! | `app_discovered` | gauge | servers on the list |
+//! | `app_ejected` | gauge | listed servers that are kept out |
+//! | `app_sighup_applied`, `app_sighup_rejected` | counter | configurations read again: taken up, turned down |
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use std::rc::Rc;
+
+/// Why the figures can't be set up: a name is registered twice, or is none.
+pub type FiguresError = prometheus::Error;
+
+/// How a request ended, in the terms of the figures.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Disposition {
+    /// A server's answer went to the client.
+    Succeeded,
+    /// Refused: trying again is harmless.
+    Declined,
+    /// Failed: nothing is promised.
+    Aborted,
+}
+
+impl Disposition {
+    const ALL: [(Disposition, &'static str); 3] = [
+        (Disposition::Succeeded, "succeeded"),
+        (Disposition::Declined, "declined"),
+        (Disposition::Aborted, "aborted"),
+    ];
+}
+
+/// See the crate's own words. Counts from 0 with each process.
+pub struct Figures {
+    registry: Registry,
+    /// For each class, in the order of [`Disposition::ALL`].
+    results: Vec<[IntCounter; 3]>,
+    /// Attempts written whole to servers.
+    pub forwards: IntCounter,
+    /// Requests taken and not ended.
+    pub outstanding: IntGauge,
+    /// Servers on the list.
+    pub discovered: IntGauge,
+    /// Listed servers that are kept out.
+    pub ejected: IntGauge,
+    /// Configurations read again and taken up.
+    pub reloaded: IntCounter,
+    /// Configurations read again and turned down.
+    pub reload_failed: IntCounter,
+}
+
+impl Figures {
+    /// Starts at 0, for classes of these names.
+    pub fn new(classes: &[String]) -> Result<Rc<Self>, FiguresError> {
+        let registry = Registry::new_custom(Some("app".to_owned()), None)?;
+        let results = IntCounterVec::new(
+            Opts::new("results", "Requests that ended, by class and by how."),
+            &["service", "disposition"],
+        )?;
+        registry.register(Box::new(results.clone()))?;
+        // All of them are there from the start: a collector that has seen no 0 can't tell a first one.
+        let of = |class: &String| {
+            Disposition::ALL.map(|(_, name)| results.with_label_values(&[class.as_str(), name]))
+        };
+        let results = classes.iter().map(of).collect();
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone())).map(|()| counter)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone())).map(|()| gauge)
+        };
+        Ok(Rc::new(Figures {
+            results,
+            forwards: counter("forwards", "Attempts written whole to servers.")?,
+            outstanding: gauge("outstanding", "Requests taken and not ended.")?,
+            discovered: gauge("discovered", "Servers on the list.")?,
+            ejected: gauge("ejected", "Listed servers that are kept out.")?,
+            reloaded: counter("sighup_applied", "Configurations read again and taken up.")?,
+            reload_failed: counter("sighup_rejected", "Configurations read again and turned down.")?,
+            registry,
+        }))
+    }
+
+    /// Counts a request of a class, by its place in the settings. Classes that the settings don't name are not counted.
+    pub fn ended(&self, class: usize, disposition: Disposition) {
+        let at = Disposition::ALL.iter().position(|d| d.0 == disposition);
+        if let Some(counter) = self.results.get(class).zip(at).and_then(|(counters, at)| counters.get(at)) {
+            counter.inc();
+        }
+    }
+
+    /// All of them, a line each, with what they are about in comments between.
+    pub fn text(&self) -> String {
+        // The encoder fails on families without a name or a value; there are none.
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn figures_read_as_collectors_want_them() {
+        let figures = Figures::new(&["buy".to_owned(), "a\"b\\".to_owned()]).expect("fixed names");
+        figures.ended(0, Disposition::Succeeded);
+        figures.ended(0, Disposition::Succeeded);
+        figures.ended(1, Disposition::Aborted);
+        figures.ended(7, Disposition::Declined);
+        figures.outstanding.set(14);
+        let text = figures.text();
+        let lines: Vec<_> = text.lines().filter(|l| !l.starts_with('#')).collect();
+        for line in [
+            "app_results{disposition=\"succeeded\",service=\"buy\"} 2",
+            "app_results{disposition=\"declined\",service=\"buy\"} 0",
+            "app_results{disposition=\"aborted\",service=\"a\\\"b\\\\\"} 1",
+            "app_outstanding 14",
+            "app_forwards 0",
+            "app_sighup_rejected 0",
+        ] {
+            assert!(lines.contains(&line), "{line} is not among {lines:#?}");
+        }
+        assert_eq!(lines.len(), 6 + 6, "nothing else is told");
+    }
+}
--- /dev/null
+++ b/crates/operations/src/call.rs
@@ -0,0 +1,91 @@
+//! What a line asks for.
+
+/// Longest line that is read, its end included.
+pub const LONGEST: usize = 1024;
+
+/// A call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process takes clients.
+    Status,
+    /// The figures.
+    Figures,
+    /// Take this server out.
+    Suspend(String),
+    /// Use this server again.
+    Restore(String),
+}
+
+/// Why a line is no call. One line each.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CallError {
+    /// It is not text.
+    #[error("the call is not UTF-8")]
+    NotText,
+    /// It is longer than any call.
+    #[error("the call is longer than {LONGEST} bytes")]
+    TooLong,
+    /// Its first word is none of those known.
+    #[error("unknown call; wanted: STATUS, METRICS, SUSPEND ID or RESTORE ID")]
+    Unknown,
+    /// It is about a server and names none, or has a word too many.
+    #[error("{0} wants {1}")]
+    Words(&'static str, &'static str),
+}
+
+impl Call {
+    /// Reads a line, with or without its end.
+    pub fn parse(line: &[u8]) -> Result<Call, CallError> {
+        if line.len() > LONGEST {
+            return Err(CallError::TooLong);
+        }
+        let mut words = std::str::from_utf8(line).map_err(|_| CallError::NotText)?.split_ascii_whitespace();
+        let call = words.next().unwrap_or_default();
+        let rest: Vec<_> = words.collect();
+        let alone =
+            |name, call| if rest.is_empty() { Ok(call) } else { Err(CallError::Words(name, "nothing more")) };
+        let about = |name, call: fn(String) -> Call| match rest[..] {
+            [id] => Ok(call(id.to_owned())),
+            _ => Err(CallError::Words(name, "the id of one server")),
+        };
+        match call {
+            "STATUS" => alone("STATUS", Call::Status),
+            "METRICS" => alone("METRICS", Call::Figures),
+            "SUSPEND" => about("SUSPEND", Call::Suspend),
+            "RESTORE" => about("RESTORE", Call::Restore),
+            _ => Err(CallError::Unknown),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn calls_are_words() {
+        let parse = |line: &str| Call::parse(line.as_bytes());
+        assert_eq!(parse("STATUS"), Ok(Call::Status));
+        assert_eq!(parse("METRICS\r\n"), Ok(Call::Figures));
+        assert_eq!(parse("  SUSPEND\t s-1 \n"), Ok(Call::Suspend("s-1".to_owned())));
+        assert_eq!(parse("RESTORE s-1"), Ok(Call::Restore("s-1".to_owned())));
+        assert_eq!(parse("STATUS now"), Err(CallError::Words("STATUS", "nothing more")));
+        assert_eq!(parse("SUSPEND"), Err(CallError::Words("SUSPEND", "the id of one server")));
+        assert_eq!(parse("SUSPEND a b"), Err(CallError::Words("SUSPEND", "the id of one server")));
+        for line in ["", "\n", "status", "GET / HTTP/1.1"] {
+            assert_eq!(parse(line), Err(CallError::Unknown), "{line:?}");
+        }
+        assert_eq!(Call::parse(b"SUSPEND \xff"), Err(CallError::NotText));
+        assert_eq!(Call::parse(&[b'A'; LONGEST + 1]), Err(CallError::TooLong));
+    }
+
+    proptest! {
+        #[test]
+        fn any_bytes_are_a_call_or_told_in_one_line(line: Vec<u8>) {
+            if let Err(error) = Call::parse(&line) {
+                prop_assert!(!error.to_string().contains('\n'));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/operations/src/desk.rs
@@ -0,0 +1,98 @@
+//! The listener that operators call.
+
+use crate::call::{Call, LONGEST};
+use std::collections::VecDeque;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::timeout;
+
+/// Connections at a time. Where more come, the one that has been there longest goes: a call takes no time, so that it is
+/// the likeliest never to make one.
+const MOST: usize = 12;
+/// For the line to come.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// For the answer to be taken.
+const WRITE: Duration = Duration::from_secs(2);
+/// A failed `accept` is not tried again at once.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What calls come to. Every text is one line.
+pub trait Node {
+    /// Yes as soon as, and as long as, this process takes clients; else why not.
+    fn status(&self) -> Result<String, String>;
+    /// The figures as they are now, many lines.
+    fn figures(&self) -> String;
+    /// Takes a server out, or uses it again. A yes is binding from then on.
+    fn set_out(&self, server: &str, out: bool) -> Result<String, String>;
+}
+
+/// Takes calls for good. Runs on a `LocalSet`.
+pub async fn serve<N: Node + 'static>(listener: TcpListener, node: Rc<N>) {
+    let mut held: VecDeque<AbortHandle> = VecDeque::new();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                held.retain(|h| !h.is_finished());
+                if held.len() >= MOST {
+                    held.pop_front().iter().for_each(AbortHandle::abort);
+                }
+                let node = node.clone();
+                // Whoever breaks off is not owed anything.
+                held.push_back(spawn_local(async move { answer(stream, &*node).await.ok() }).abort_handle());
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn answer(mut stream: TcpStream, node: &impl Node) -> io::Result<()> {
+    let Ok(line) = timeout(PATIENCE, read_line(&mut stream)).await else { return Ok(()) };
+    let Some(line) = line? else { return Ok(()) };
+    let answer = match Call::parse(&line) {
+        Ok(call) => carry_out(node, call),
+        Err(error) => told(Err(error.to_string())),
+    };
+    let write = async {
+        stream.write_all(answer.as_bytes()).await?;
+        stream.shutdown().await
+    };
+    timeout(WRITE, write).await?
+}
+
+fn carry_out(node: &impl Node, call: Call) -> String {
+    match call {
+        Call::Status => told(node.status()),
+        Call::Figures => node.figures() + "EOT\n",
+        Call::Suspend(server) => told(node.set_out(&server, true)),
+        Call::Restore(server) => told(node.set_out(&server, false)),
+    }
+}
+
+fn told(result: Result<String, String>) -> String {
+    match result {
+        Ok(text) => format!("SUCCESS {text}\n"),
+        Err(text) => format!("FAILURE {text}\n"),
+    }
+}
+
+/// The first line, or what came before the caller's end. None: nothing did.
+async fn read_line(stream: &mut TcpStream) -> io::Result<Option<Vec<u8>>> {
+    let mut line = Vec::new();
+    let mut buffer = [0; 256];
+    // One byte over the longest tells that it is too long.
+    while !line.contains(&b'\n') && line.len() <= LONGEST {
+        match stream.read(&mut buffer).await? {
+            0 if line.is_empty() => return Ok(None),
+            0 => break,
+            n => line.extend_from_slice(&buffer[..n]),
+        }
+    }
+    if let Some(end) = line.iter().position(|b| *b == b'\n') {
+        line.truncate(end);
+    }
+    Ok(Some(line))
+}
