Node: operators' calls, bans across an upgrade, a listening socket taken over

Change: membership lays servers taken out by hand over every list as draining; hosts count requests and attempts; the node answers GW_OPS and takes up the listening socket of GW_SOCKET_FD (crates/handover, the one package with unsafe). With such a socket it accepts from its first list on and stops when told to leave: the queue is the next process's. Excluded: a lock round the bans (a file each needs none), SO_REUSEPORT (each process has a queue of its own, lost with it).

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -14,9 +14,11 @@
 use birchswitch_engine::{
     Answer, AttemptId, Clearance, Command, Duplicate, Ended, Engine, Incoming, ProbeId,
 };
+use birchswitch_figures::{Disposition, Figures};
 use birchswitch_membership::{list::ServerList, Directory, Target};
 use finchvale::{
-    Balancer, ListKind, LoadReport, Outcome, RequestId, ServerEntry, ServerId, Settings, SettingsError, Time,
+    Balancer, ClassId, ListKind, LoadReport, Outcome, RequestId, ServerEntry, ServerId, Settings,
+    SettingsError, Time,
 };
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -97,7 +99,8 @@
     upstream: Rc<U>,
     engine: RefCell<Engine<Balancer, U::Request, U::Answer>>,
     directory: RefCell<Directory>,
-    replies: RefCell<FxHashMap<RequestId, oneshot::Sender<Answer<U::Answer>>>>,
+    replies: RefCell<FxHashMap<RequestId, (ClassId, oneshot::Sender<Answer<U::Answer>>)>>,
+    figures: Rc<Figures>,
     attempts: RefCell<FxHashMap<AttemptId, AbortHandle>>,
     probes: RefCell<FxHashMap<ProbeId, AbortHandle>>,
     /// When the timer goes off next, and how to tell it of something earlier.
@@ -107,6 +110,7 @@
     watch: RefCell<Box<dyn Fn()>>,
     revision: Cell<u64>,
     servers_listed: Cell<bool>,
+    listed: Notify,
     /// Nothing more is begun: the tasks that would do it are going.
     closed: Cell<bool>,
 }
@@ -119,6 +123,7 @@
         seed: u64,
         directory: Directory,
         upstream: Rc<U>,
+        figures: Rc<Figures>,
     ) -> Result<Rc<Self>, SettingsError> {
         let clock = Clock::new();
         let balancer = Balancer::new(settings.clone(), seed, clock.time(Instant::now()))?;
@@ -130,6 +135,7 @@
             engine: RefCell::new(Engine::new(balancer, &settings)),
             directory: RefCell::new(directory),
             replies: RefCell::default(),
+            figures,
             attempts: RefCell::default(),
             probes: RefCell::default(),
             timer: Cell::new(None),
@@ -137,6 +143,7 @@
             watch: RefCell::new(Box::new(|| {})),
             revision: Cell::new(0),
             servers_listed: Cell::new(false),
+            listed: Notify::new(),
             closed: Cell::new(false),
         });
         spawn_local(keep_time(Rc::downgrade(&host)));
@@ -164,6 +171,15 @@
         self.servers_listed.get()
     }
 
+    /// Waits for a list that names a server.
+    pub async fn until_ready(&self) {
+        let mut listed = std::pin::pin!(self.listed.notified());
+        while !self.ready() {
+            listed.as_mut().await;
+            listed.set(self.listed.notified());
+        }
+    }
+
     /// Requests in hand.
     pub fn in_hand(&self) -> usize {
         self.engine.borrow().in_hand()
@@ -198,11 +214,38 @@
         self.told(ListKind::Failed, Vec::new());
     }
 
+    /// Whether a server of this name is listed, or was taken out by hand.
+    pub fn knows(&self, server: &str) -> bool {
+        self.directory.borrow().knows(server)
+    }
+
+    /// Takes a server out by hand, or lets it in again, whatever lists say of it meanwhile.
+    pub fn set_out(&self, server: &str, out: bool) {
+        let update = self.directory.borrow_mut().set_out(server, out);
+        if !update.entries.is_empty() {
+            self.upstream.learn(&update.targets);
+            self.told(ListKind::Changes, update.entries);
+        }
+    }
+
+    /// Servers listed, and how many of them were taken out by hand.
+    pub fn servers(&self) -> (usize, usize) {
+        self.directory.borrow().count()
+    }
+
+    /// What this node counts.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
     fn take(&self, list: &ServerList) -> Vec<ServerEntry> {
         self.revision.set(list.revision);
         let update = self.directory.borrow_mut().take(list);
         self.upstream.learn(&update.targets);
         self.servers_listed.set(self.servers_listed.get() || !update.entries.is_empty());
+        if self.ready() {
+            self.listed.notify_waiters();
+        }
         update.entries
     }
 
@@ -215,9 +258,10 @@
         let Request { incoming, due, last } = request;
         let incoming = Incoming { due: self.clock.time(due), last: self.clock.time(last), ..incoming };
         let (reply, answer) = oneshot::channel();
-        let now = self.now();
+        let (now, class) = (self.now(), incoming.class);
         let id = self.engine.borrow_mut().arrive(now, incoming)?;
-        self.replies.borrow_mut().insert(id, reply);
+        self.replies.borrow_mut().insert(id, (class, reply));
+        self.figures.outstanding.inc();
         self.carry_out();
         Ok(Taken { host: self.me.clone(), id, answer })
     }
@@ -260,7 +304,9 @@
                 self.attempts.borrow_mut().remove(&attempt).iter().for_each(AbortHandle::abort);
             }
             Command::Answer { request, answer } => {
-                if let Some(reply) = self.replies.borrow_mut().remove(&request) {
+                if let Some((class, reply)) = self.replies.borrow_mut().remove(&request) {
+                    self.figures.outstanding.dec();
+                    self.figures.ended(usize::from(class.0), disposition(&answer));
                     let _ = reply.send(answer); // A client that left in this very moment takes none.
                 }
             }
@@ -278,6 +324,14 @@
     }
 }
 
+fn disposition<A>(answer: &Answer<A>) -> Disposition {
+    match answer {
+        Answer::Served(_) => Disposition::Succeeded,
+        Answer::Refused(_) => Disposition::Declined,
+        Answer::Failed => Disposition::Aborted,
+    }
+}
+
 /// Wakes the engine whenever something is due.
 async fn keep_time<U: Upstream>(host: Weak<Host<U>>) {
     loop {
@@ -318,6 +372,7 @@
         let Some(host) = self.host.upgrade() else { return };
         let owed = host.replies.borrow_mut().remove(&self.id);
         if owed.is_some() {
+            host.figures.outstanding.dec();
             host.with(|engine, now| engine.leave(now, self.id));
         }
     }
@@ -336,6 +391,11 @@
         host.with(|engine, now| engine.clear(now, self.attempt))
     }
 
+    /// Tells that the attempt's last byte is on its way.
+    pub fn written(&self) {
+        self.host.upgrade().iter().for_each(|host| host.figures.forwards.inc());
+    }
+
     /// Tells how the attempt ended.
     pub fn end(self, ended: Ended<U::Answer>) {
         let Some(host) = self.host.upgrade() else { return };
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -224,8 +224,8 @@
         })
     }
 
-    /// Takes connections until the node closes, then waits for the last of them to end.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+    /// Takes connections until the node's end has come as far as `until`, then waits for the last of them to end.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, until: Phase) {
         let sweeping = self.clone();
         let sweeper = spawn_local(async move {
             let mut every = tokio::time::interval(SWEEP);
@@ -236,7 +236,7 @@
         });
         let mut phase = self.phase.clone();
         let mut closing = std::pin::pin!(async move {
-            let _ = phase.wait_for(|p| *p == Phase::Closing).await;
+            let _ = phase.wait_for(|p| *p >= until).await;
         });
         loop {
             // Not given up when the node closes: what the system has taken for us may hold requests, and would be
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -195,6 +195,7 @@
         let mut request = Request::clone(&request).map(Full::new);
         let left = HeaderValue::from_str(&format!("{}u", left.as_micros()));
         request.headers_mut().insert("x-timeout", left.expect("digits are valid in a header"));
+        ticket.written();
         let (ended, connection) = self.exchange(connection, request, true).await;
         ticket.end(ended);
         if let Some(connection) = connection {
--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -33,20 +33,60 @@
 pub struct Directory {
     names: Rc<Names>,
     known: FxHashMap<String, Known>,
+    /// Taken out by hand, listed or not.
+    out: FxHashSet<String>,
     next: u32,
 }
 
 #[derive(Clone, Copy)]
 struct Known {
+    /// What the list says; the target's state is that of a drain where the server was taken out by hand.
+    listed: ServerState,
     target: Target,
     started: Option<Time>,
     place: (ZoneId, KindId, CellId),
+    weight: f64,
+}
+
+impl Known {
+    fn entry(&self) -> ServerEntry {
+        let (zone, kind, cell) = self.place;
+        let (server, state, started) = (self.target.server, self.target.state, self.started);
+        ServerEntry { server, zone, kind, cell, state, weight: self.weight, started }
+    }
 }
 
 impl Directory {
     /// Knows no server yet. The names tell zones and kinds.
     pub fn new(names: Rc<Names>) -> Self {
-        Directory { names, known: FxHashMap::default(), next: 0 }
+        Directory { names, known: FxHashMap::default(), out: FxHashSet::default(), next: 0 }
+    }
+
+    /// Whether a server of this name is listed, or out.
+    pub fn knows(&self, name: &str) -> bool {
+        self.known.contains_key(name) || self.out.contains(name)
+    }
+
+    /// Takes a server out by hand, or lets it in again: until then it drains, whatever lists say of it, also one that is
+    /// listed only later. Saying the same twice changes nothing.
+    pub fn set_out(&mut self, name: &str, out: bool) -> Update {
+        let changed = match out {
+            true => self.out.insert(name.to_owned()),
+            false => self.out.remove(name),
+        };
+        let mut update = Update::default();
+        if let Some(known) = self.known.get_mut(name).filter(|_| changed) {
+            let state = effective(known.listed, out);
+            known.target = Target { state, renewed: state == ServerState::Draining, ..known.target };
+            update.targets.push(known.target);
+            update.entries.push(known.entry());
+        }
+        update
+    }
+
+    /// Servers listed, and how many of them were taken out by hand.
+    pub fn count(&self) -> (usize, usize) {
+        (self.known.len(), self.out.iter().filter(|name| self.known.contains_key(*name)).count())
     }
 
     /// Takes in a list: a complete one drops what it doesn't name.
@@ -63,11 +103,12 @@
             });
         }
         for member in &list.members {
-            let state = match member.phase {
+            let listed = match member.phase {
                 Phase::Active => ServerState::Ready,
                 Phase::Leaving => ServerState::Draining,
                 Phase::Left => ServerState::Gone,
             };
+            let state = effective(listed, self.out.contains(&member.id));
             // Mapping a start by the clocks' present difference would make every list look like a restart;
             // the decisions' clock counts in Unix time, so that no mapping is needed.
             let started =
@@ -90,12 +131,14 @@
                     let renewed = known.started != started
                         || known.target.address != address
                         || state == ServerState::Draining;
-                    Known { target: Target { address, state, renewed, ..known.target }, started, place }
+                    let target = Target { address, state, renewed, ..known.target };
+                    Known { listed, target, started, place, weight: member.size }
                 }
                 (None, Some(address)) if state != ServerState::Gone => {
                     let server = ServerId(self.next);
                     self.next = self.next.wrapping_add(1);
-                    Known { target: Target { server, address, state, renewed: false }, started, place }
+                    let target = Target { server, address, state, renewed: false };
+                    Known { listed, target, started, place, weight: member.size }
                 }
                 _ => continue,
             };
@@ -103,22 +146,20 @@
                 self.known.insert(member.id.clone(), known);
             }
             update.targets.push(known.target);
-            let (zone, kind, cell) = known.place;
-            let (server, started) = (known.target.server, known.started);
-            update.entries.push(ServerEntry {
-                server,
-                zone,
-                kind,
-                cell,
-                state,
-                weight: member.size,
-                started,
-            });
+            update.entries.push(known.entry());
         }
         update
     }
 }
 
+/// What may go to a server, by the list and by hand. One that is gone is gone.
+fn effective(listed: ServerState, out: bool) -> ServerState {
+    match listed {
+        ServerState::Ready if out => ServerState::Draining,
+        listed => listed,
+    }
+}
+
 fn gone(target: Target) -> Target {
     Target { state: ServerState::Gone, renewed: true, ..target }
 }
@@ -179,6 +220,34 @@
         assert_eq!(renewed(2, "active", 6), (false, 2));
     }
 
+    /// The ban holds through whatever lists say: a new whole list, a restart, a removal and the same name come back.
+    #[test]
+    fn what_is_out_by_hand_drains_until_the_call_back() {
+        let mut directory = directory();
+        assert!(!directory.knows("x"));
+        take(&mut directory, true, &[one("x", 1, "active", 0), one("y", 2, "active", 0)].join(","));
+        let out = directory.set_out("x", true);
+        assert_eq!((out.entries[0].state, out.targets[0].renewed), (ServerState::Draining, true));
+        assert!(directory.set_out("x", true).entries.is_empty(), "said twice");
+        let mut state = |complete, members: &str| take(&mut directory, complete, members).entries[0].state;
+        assert_eq!(state(true, &one("x", 1, "active", 0)), ServerState::Draining);
+        assert_eq!(state(false, &one("x", 1, "active", 9)), ServerState::Draining);
+        assert_eq!(state(false, &one("x", 1, "left", 9)), ServerState::Gone);
+        assert_eq!(state(false, &one("x", 3, "active", 12)), ServerState::Draining);
+        assert_eq!((directory.count(), directory.knows("x")), ((1, 1), true));
+        let back = directory.set_out("x", false);
+        assert_eq!((back.entries[0].state, back.targets[0].address.port()), (ServerState::Ready, 3));
+        assert_eq!(back.entries[0].started, Some(Time(12_000_000)), "it came back cold");
+    }
+
+    #[test]
+    fn a_call_back_does_not_end_a_drain() {
+        let mut directory = directory();
+        take(&mut directory, true, &one("x", 1, "leaving", 0));
+        directory.set_out("x", true);
+        assert_eq!(directory.set_out("x", false).entries[0].state, ServerState::Draining);
+    }
+
     #[test]
     fn word_of_an_end_needs_no_address_and_may_come_twice() {
         let mut directory = directory();
--- a/crates/thrift-proxy/src/upstream.rs
+++ b/crates/thrift-proxy/src/upstream.rs
@@ -206,10 +206,12 @@
             Err(written) if written == 0 || !call.oneway => Exchanged::Unsent,
             Err(_) => Exchanged::Broken,
             Ok(()) if call.oneway => {
+                ticket.written();
                 ticket.end(Ended { outcome: Outcome::Served, report: None, answer: Some(Bytes::new()) });
                 return self.pool.give_back(&server, connection);
             }
             Ok(()) => {
+                ticket.written();
                 let header = walk::header(call.protocol, &call.message, &self.settings.limits);
                 let name = header.map_or("", |h| h.name);
                 let method = name.rsplit(':').next().unwrap_or(name);
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -6,6 +6,8 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
+use std::path::PathBuf;
 
 /// Why a node cannot start with what it was told.
 #[derive(Debug, thiserror::Error)]
@@ -78,6 +80,12 @@
     pub discovery: SocketAddr,
     /// The file's word on that, which counts when the file is read again.
     pub discovery_in_file: Option<SocketAddr>,
+    /// Where operators call, if anywhere.
+    pub ops: Option<SocketAddr>,
+    /// The descriptor under which the process inherits the clients' listening socket, if it does.
+    pub socket: Option<RawFd>,
+    /// Where what outlives this process is kept, if anything is.
+    pub state: Option<PathBuf>,
     /// For random numbers.
     pub seed: u64,
     /// File descriptors that the process may hold.
@@ -98,6 +106,7 @@
     name: String,
     listen: Option<String>,
     discovery: Option<String>,
+    ops: Option<String>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -157,6 +166,17 @@
         let listen = either("GW_LISTEN", "listen", address("listen", file.listen)?)?;
         let discovery_in_file = address("discovery", file.discovery)?;
         let discovery = either("GW_DISCOVERY", "discovery", discovery_in_file)?;
+        let in_file = address("ops", file.ops)?;
+        let ops = address("GW_OPS", variable("GW_OPS"))?.or(in_file);
+        if let Some(twice) = ops.filter(|ops| *ops == listen && ops.port() != 0) {
+            let wanted = "another address than where clients connect";
+            return Err(ConfigError::Senseless { what: "ops", value: twice.to_string(), wanted });
+        }
+        let socket = variable("GW_SOCKET_FD").map(|value| {
+            let wanted = "the number of a descriptor";
+            value.parse().map_err(|_| ConfigError::Senseless { what: "GW_SOCKET_FD", value, wanted })
+        });
+        let socket = socket.transpose()?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Senseless {
             what: "seed",
             value: file.seed.clone(),
@@ -178,6 +198,9 @@
             listen,
             discovery,
             discovery_in_file,
+            ops,
+            socket,
+            state: variable("TMPDIR").map(PathBuf::from),
             seed,
             sockets,
             memory,
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,9 +5,11 @@
 
 mod config;
 mod lists;
+mod operations;
 mod operator;
 mod thrift;
 
+use birchswitch_figures::Figures;
 use birchswitch_host::Host;
 use birchswitch_http::{Front, HttpUpstream, Limits, Phase};
 use birchswitch_membership::{Directory, Discovery};
@@ -78,9 +80,23 @@
     let upstream = HttpUpstream::new(limits, names.clone(), config.site.fields);
     let asked = settings.list_on_request;
     let directory = Directory::new(names.clone());
-    let host = Host::new(config.name.clone(), settings.clone(), config.seed, directory, upstream.clone())?;
-    let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let figures = Figures::new(&names.classes)?;
+    let host = Host::new(
+        config.name.clone(),
+        settings.clone(),
+        config.seed,
+        directory,
+        upstream.clone(),
+        figures.clone(),
+    )?;
+    let inherited = config.socket.is_some();
+    let listener = match config.socket {
+        Some(number) => take_up(number).map_err(|e| format!("GW_SOCKET_FD: {e}"))?,
+        None => listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?,
+    };
     host.log(format_args!("listening on {}", listener.local_addr()?));
+    let (phase, phases) = watch::channel(Phase::Serving);
+    let desk = operations::Desk::open(config.ops, config.state, &host, &figures, phases.clone())?;
     let discovery = lists::follow(&host, config.discovery, config.known.as_ref(), asked);
     let reloading = host.clone();
     spawn_local(async move {
@@ -96,15 +112,28 @@
         name: &config.name,
         site: &settings,
         names: &names,
+        figures: &figures,
         seed: config.seed,
         closing: &closing,
     };
     let started = config.operator.thrift.into_iter().enumerate();
     let started = started.map(|(n, compiled)| thrift::Running::start(compiled, n, &shared));
     let mut listeners = started.collect::<Result<Vec<_>, _>>()?;
-    let (phase, phases) = watch::channel(Phase::Serving);
-    let served =
-        spawn_local(Front::new(host.clone(), names.clone(), effects, clients as u32, phases).serve(listener));
+    if let Some(desk) = desk {
+        listeners.iter().for_each(|l| desk.add(l.host().clone()));
+        desk.serve()?;
+    }
+    let front = Front::new(host.clone(), names.clone(), effects, clients as u32, phases);
+    let waiting = host.clone();
+    let served = spawn_local(async move {
+        // Another process may serve from the same queue: what is taken before there are servers would be lost to it.
+        if inherited {
+            waiting.until_ready().await;
+        }
+        // That process, or the next, takes what comes once this one leaves.
+        let last = if inherited { Phase::Leaving } else { Phase::Closing };
+        front.serve(listener, last).await;
+    });
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -135,10 +164,12 @@
     let config = match Config::from_env() {
         Ok(config) => config,
         Err(error) => {
+            host.figures().reload_failed.inc();
             host.log(format_args!("the configuration stays as it is: {error}"));
             return false;
         }
     };
+    host.figures().reloaded.inc();
     host.log(format_args!("configuration read again"));
     let Some(address) = config.discovery_in_file else { return false };
     let moved = discovery.move_to(address);
@@ -156,6 +187,13 @@
     }
 }
 
+/// The listening socket that the process was started with.
+fn take_up(number: std::os::fd::RawFd) -> Result<TcpListener, Box<dyn Error>> {
+    let listener = birchswitch_handover::listener(number)?;
+    listener.set_nonblocking(true)?;
+    Ok(TcpListener::from_std(listener)?)
+}
+
 fn listen(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
--- /dev/null
+++ b/node/src/operations.rs
@@ -0,0 +1,134 @@
+//! What operators' calls come to: the node's state in one line, its figures, and servers taken out by hand on all fronts.
+
+use birchswitch_figures::Figures;
+use birchswitch_host::{Host, Upstream};
+use birchswitch_http::{HttpUpstream, Phase};
+use birchswitch_operations::{serve, Bans, Node};
+use std::cell::RefCell;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+
+/// How often another process's bans are looked for: well within the grace of a drain.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// What follows a list of servers, whatever its protocol.
+trait Follows {
+    fn knows(&self, server: &str) -> bool;
+    fn set_out(&self, server: &str, out: bool);
+}
+
+impl<U: Upstream> Follows for Host<U> {
+    fn knows(&self, server: &str) -> bool {
+        Host::knows(self, server)
+    }
+
+    fn set_out(&self, server: &str, out: bool) {
+        Host::set_out(self, server, out);
+    }
+}
+
+/// Where operators call.
+pub struct Desk {
+    address: SocketAddr,
+    host: Rc<Host<HttpUpstream>>,
+    /// All that send to servers, `host` among them.
+    followers: RefCell<Vec<Rc<dyn Follows>>>,
+    bans: RefCell<Bans>,
+    figures: Rc<Figures>,
+    phase: watch::Receiver<Phase>,
+}
+
+impl Desk {
+    /// Takes up the bans that were kept below the folder `state`, before any list comes. None: there is no address for
+    /// operators.
+    pub fn open(
+        address: Option<SocketAddr>,
+        state: Option<PathBuf>,
+        host: &Rc<Host<HttpUpstream>>,
+        figures: &Rc<Figures>,
+        phase: watch::Receiver<Phase>,
+    ) -> Result<Option<Rc<Self>>, Box<dyn Error>> {
+        let Some(address) = address else { return Ok(None) };
+        let folder = state.map(|state| state.join("birchswitch").join("bans"));
+        let bans = Bans::open(folder).map_err(|e| format!("bans: {e}"))?;
+        let desk = Desk {
+            address,
+            host: host.clone(),
+            followers: RefCell::default(),
+            bans: RefCell::new(bans),
+            figures: figures.clone(),
+            phase,
+        };
+        desk.add(host.clone());
+        Ok(Some(Rc::new(desk)))
+    }
+
+    /// Lets calls count for these servers too.
+    pub fn add<U: Upstream>(&self, host: Rc<Host<U>>) {
+        self.bans.borrow().names().for_each(|name| host.set_out(name, true));
+        self.followers.borrow_mut().push(host);
+    }
+
+    /// Takes calls, and takes up what another process of this node was told, for good.
+    pub fn serve(self: Rc<Self>) -> Result<(), Box<dyn Error>> {
+        let listener = crate::listen(self.address)
+            .map_err(|e| format!("ops: cannot listen on {}: {e}", self.address))?;
+        self.host.log(format_args!("operators call {}", listener.local_addr()?));
+        spawn_local(serve(listener, self.clone()));
+        spawn_local(async move {
+            let mut every = tokio::time::interval(LOOK);
+            let mut told = false;
+            loop {
+                every.tick().await;
+                let changes = self.bans.borrow_mut().refresh();
+                if let (Err(error), false) = (&changes, told) {
+                    self.host.log(format_args!("bans: {error}"));
+                }
+                told = changes.is_err();
+                changes.iter().flatten().for_each(|c| self.apply(&c.name, c.out, "another process was told"));
+            }
+        });
+        Ok(())
+    }
+
+    fn apply(&self, server: &str, out: bool, why: &str) {
+        self.followers.borrow().iter().for_each(|f| f.set_out(server, out));
+        let what = if out { "out" } else { "in use again" };
+        self.host.log(format_args!("server {server:?} is {what}: {why}"));
+    }
+}
+
+impl Node for Desk {
+    fn status(&self) -> Result<String, String> {
+        match (self.host.ready(), *self.phase.borrow()) {
+            (true, Phase::Serving) => Ok(format!("serving, list {}", self.host.revision())),
+            (false, Phase::Serving) => Err("no list of servers yet".to_owned()),
+            (_, Phase::Leaving | Phase::Closing) => Err("leaving".to_owned()),
+        }
+    }
+
+    fn figures(&self) -> String {
+        let (listed, out) = self.host.servers();
+        self.figures.discovered.set(listed as i64);
+        self.figures.ejected.set(out as i64);
+        self.figures.text()
+    }
+
+    fn set_out(&self, server: &str, out: bool) -> Result<String, String> {
+        let listed = self.followers.borrow().iter().any(|f| f.knows(server));
+        let mut bans = self.bans.borrow_mut();
+        if !listed && !bans.contains(server) {
+            return Err(format!("no server of the id {server:?} is listed or out"));
+        }
+        let kept = if out { bans.add(server) } else { bans.remove(server) };
+        kept.map_err(|e| format!("nothing was changed: {e}"))?;
+        drop(bans);
+        self.apply(server, out, "an operator's call");
+        Ok(if out { "out" } else { "in use again" }.to_owned())
+    }
+}
