--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -1,6 +1,8 @@
 //! A node's process: its configuration in a file of its own, its log, signals.
 
+use command_fds::{CommandFdExt, FdMapping};
 use std::io;
+use std::os::fd::{OwnedFd, RawFd};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::{Mutex, MutexGuard};
@@ -50,9 +52,23 @@
 /// Starts a node with nothing in its environment but its configuration and these variables. Its log is piped; it is
 /// killed when dropped.
 pub fn start(binary: &Path, config: &ConfigFile, variables: &[(&str, &str)]) -> io::Result<Child> {
+    start_inheriting(binary, config, variables, None)
+}
+
+/// The same, with a socket that the process inherits under a number of its own.
+pub fn start_inheriting(
+    binary: &Path,
+    config: &ConfigFile,
+    variables: &[(&str, &str)],
+    socket: Option<(RawFd, OwnedFd)>,
+) -> io::Result<Child> {
     let mut command = Command::new(binary);
     command.env_clear().envs(variables.iter().copied()).env("GW_CONFIG", config.path());
     command.stderr(Stdio::piped()).kill_on_drop(true);
+    if let Some((child_fd, parent_fd)) = socket {
+        let mapped = command.as_std_mut().fd_mappings(vec![FdMapping { parent_fd, child_fd }]);
+        mapped.map_err(io::Error::other)?;
+    }
     let _guard = nothing_starts();
     command.spawn()
 }
--- a/crates/standin/src/scripted/node.rs
+++ b/crates/standin/src/scripted/node.rs
@@ -4,9 +4,11 @@
 use crate::process::{self, ConfigFile};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::process::ExitStatus;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
 use tokio::process::{Child, ChildStderr};
 
 /// What nodes are told that they may use: it holds 128 clients with large bodies.
@@ -34,6 +36,15 @@
     (process::start(&binary, &config, variables).expect("a process"), config)
 }
 
+/// What operators are answered on a call of one line, whole.
+pub async fn call(operators: SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(operators).await.expect("a connection");
+    stream.write_all(format!("{line}\n").as_bytes()).await.expect("a call");
+    let mut answer = String::new();
+    within("an answer to operators", stream.read_to_string(&mut answer)).await.expect("an answer");
+    answer
+}
+
 impl Node {
     /// Starts a node with these settings and limits; the list it knows is empty.
     pub async fn with(discovery: &Peer, settings: Value, sockets: u32) -> Self {
@@ -51,7 +62,11 @@
 
     /// The same with a whole configuration and further variables.
     pub async fn told(config: Value, variables: &[(&str, &str)]) -> Self {
-        let (mut child, file) = start_with(&config.to_string(), variables);
+        let (child, file) = start_with(&config.to_string(), variables);
+        Node::started(child, file, config).await
+    }
+
+    async fn started(mut child: Child, file: ConfigFile, config: Value) -> Self {
         let log = child.stderr.take().map(BufReader::new);
         let mut node = Node { child, log, address: ([127, 0, 0, 1], 0).into(), config, file };
         let line = node.logged("listening on ").await;
@@ -59,6 +74,26 @@
         node
     }
 
+    /// The same, with a listening socket that the node inherits under descriptor 5 and is told of.
+    pub async fn inheriting(
+        listener: &std::net::TcpListener,
+        config: Value,
+        variables: &[(&str, &str)],
+    ) -> Self {
+        let file = ConfigFile::new(&config.to_string()).expect("a configuration file");
+        let binary = process::node_binary().expect("this program's path");
+        let socket = listener.as_fd().try_clone_to_owned().expect("a descriptor");
+        let variables: Vec<_> = variables.iter().copied().chain([("GW_SOCKET_FD", "5")]).collect();
+        let child = process::start_inheriting(&binary, &file, &variables, Some((5, socket)));
+        Node::started(child.expect("a process"), file, config).await
+    }
+
+    /// Where operators call it, by its log: to be asked once, before anything else of the log is read.
+    pub async fn operators(&mut self) -> SocketAddr {
+        let line = self.logged("operators call ").await;
+        line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address")
+    }
+
     /// A node with the usual settings that has taken a list of these servers.
     pub async fn serving(servers: &[(&str, &Peer)]) -> (Self, Peer, Watch) {
         let discovery = Peer::new().await;
@@ -72,17 +107,23 @@
 
     /// Waits until the node says that it is ready.
     pub async fn ready(&self) {
-        while self.get("/health/ready").await.status() != 200 {
-            tokio::time::sleep(Duration::from_millis(2)).await;
-        }
+        let ready = async {
+            while self.get("/health/ready").await.status() != 200 {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        within("a node that is ready", ready).await;
     }
 
     /// Waits until the node has taken the list of this revision.
     pub async fn holds(&self, revision: u64) {
         let told = format!("list {revision}\n");
-        while self.get("/health/live").await.body != told.as_bytes() {
-            tokio::time::sleep(Duration::from_millis(2)).await;
-        }
+        let held = async {
+            while self.get("/health/live").await.body != told.as_bytes() {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        within("the list's taking", held).await;
     }
 
     /// Replaces its configuration file by one in which a value differs, and tells it so.
