Large bodies and answers pass through as they come; uploads are no server's slowness

Change (crates/http/src/body.rs): up to 64 KiB a body is held whole as before. A larger request body streams to its server and is kept for a further attempt while an eighth of memory has room; an attempt that breaks before the last byte never ran. A larger answer streams to the client, read from its server as fast as another eighth of memory allows. A request's time counts from its last byte: the engine's set_due; a head may take 2.5 s. The decisions hear when a server has all of a body (Event::Written). Road not taken: spilling to files, since files count as memory on the platform.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -84,7 +84,7 @@
     // ---- what happens ----
     /// Takes a client's request. Its answer comes as a [`Command::Answer`].
     pub fn arrive(&mut self, now: Time, incoming: Incoming<R>) -> Result<RequestId, Duplicate> {
-        let Incoming { class, tenant, work, due, last, name, request } = incoming;
+        let Incoming { class, tenant, work, whole, due, last, name, request } = incoming;
         let name: Rc<[u8]> = name.into();
         if !self.names.insert(name.clone()) {
             return Err(Duplicate);
@@ -95,11 +95,28 @@
         let entry = Entry { name, class, due, last, request: Some(Rc::new(request)), attempts: Vec::new() };
         self.ledger.insert(id, entry);
         self.due.insert((last, Due::Answer(id)));
-        self.feed(now, Event::Arrival(Arrival { request: id, class, tenant, remaining: due - now, work }));
+        let remaining = due - now;
+        self.feed(now, Event::Arrival(Arrival { request: id, class, tenant, remaining, work, whole }));
         self.settle(id);
         Ok(id)
     }
 
+    /// Sets a request's times anew, where they could not be known when it arrived. No attempt that is out gets longer than
+    /// until `due`; none that was given less gets more.
+    pub fn set_due(&mut self, request: RequestId, due: Time, last: Time) {
+        let Some(entry) = self.ledger.get_mut(&request).filter(|e| e.open()) else { return };
+        let last = last.max(due);
+        self.due.remove(&(entry.last, Due::Answer(request)));
+        self.due.insert((last, Due::Answer(request)));
+        (entry.due, entry.last) = (due, last);
+        for (number, a) in entry.attempts.iter_mut().enumerate().filter(|(_, a)| a.out && a.until > due) {
+            let attempt = AttemptId { request, number: number as u32 };
+            self.due.remove(&(a.until, Due::Attempt(attempt)));
+            self.due.insert((due, Due::Attempt(attempt)));
+            a.until = due;
+        }
+    }
+
     /// The client left: no answer is owed any more. After the answer this says nothing new.
     pub fn leave(&mut self, now: Time, request: RequestId) {
         if self.close(request) {
@@ -124,6 +141,16 @@
         Clearance::Go(a.until - now)
     }
 
+    /// The last byte of an attempt went out, whose request was not whole when it began. Its server's time counts from here.
+    pub fn written(&mut self, now: Time, attempt: AttemptId) {
+        let AttemptId { request, number } = attempt;
+        let attempts = self.ledger.get_mut(&request).map(|entry| &mut entry.attempts);
+        if let Some(a) = attempts.and_then(|all| all.get_mut(number as usize)).filter(|a| a.out) {
+            a.whole = now;
+            self.feed(now, Event::Written { request, attempt: number });
+        }
+    }
+
     /// An attempt ended. Those that were given up meanwhile have ended already.
     pub fn ended(&mut self, now: Time, attempt: AttemptId, ended: Ended<A>) {
         let Ended { outcome, report, answer } = ended;
@@ -226,7 +253,7 @@
         let a = entry.attempts.get_mut(number as usize).filter(|a| a.out)?;
         a.out = false;
         a.never_ran = outcome.never_ran();
-        let (server, latency) = (a.server, now - a.began);
+        let (server, latency) = (a.server, now - a.whole);
         self.due.remove(&(a.until, Due::Attempt(attempt)));
         Some(Event::Ended(finchvale::Ended {
             request,
@@ -302,7 +329,16 @@
         let until = limit.map_or(entry.due, |limit| entry.due.min(now + limit));
         let number = entry.attempts.len();
         let (cleared, out, never_ran) = (false, true, false);
-        entry.attempts.push(Attempt { server, place, began: now, until, cleared, out, never_ran });
+        entry.attempts.push(Attempt {
+            server,
+            place,
+            began: now,
+            whole: now,
+            until,
+            cleared,
+            out,
+            never_ran,
+        });
         let attempt = AttemptId { request, number: number as u32 };
         match (objection, &entry.request) {
             (None, Some(body)) if number < MOST_DECISIONS => {
--- a/crates/engine/src/ledger.rs
+++ b/crates/engine/src/ledger.rs
@@ -32,6 +32,8 @@
     pub(crate) server: ServerId,
     pub(crate) place: Place,
     pub(crate) began: Time,
+    /// When its server had all of it, as far as is known.
+    pub(crate) whole: Time,
     pub(crate) until: Time,
     /// It has been let go: from here on it may run.
     pub(crate) cleared: bool,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -63,6 +63,8 @@
     pub tenant: TenantId,
     /// Expected work, if the client told.
     pub work: Option<Duration>,
+    /// All of it is there; else [`Engine::written`] tells when a server has it, and [`Engine::set_due`] sets its times.
+    pub whole: bool,
     /// When the decisions have to be over.
     pub due: Time,
     /// When the answer goes out whatever they say; not before `due`.
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -91,6 +91,9 @@
     pub last: Instant,
 }
 
+/// Whom an answer is owed to, and the class of the request, for the figures.
+type Owed<A> = (ClassId, oneshot::Sender<Answer<A>>);
+
 /// See the crate's own words.
 pub struct Host<U: Upstream> {
     me: Weak<Host<U>>,
@@ -99,7 +102,7 @@
     upstream: Rc<U>,
     engine: RefCell<Engine<Balancer, U::Request, U::Answer>>,
     directory: RefCell<Directory>,
-    replies: RefCell<FxHashMap<RequestId, (ClassId, oneshot::Sender<Answer<U::Answer>>)>>,
+    replies: RefCell<FxHashMap<RequestId, Owed<U::Answer>>>,
     figures: Rc<Figures>,
     attempts: RefCell<FxHashMap<AttemptId, AbortHandle>>,
     probes: RefCell<FxHashMap<ProbeId, AbortHandle>>,
@@ -360,10 +363,17 @@
 }
 
 impl<U: Upstream> Taken<U> {
-    /// The final answer, at the request's last moment if not before.
-    pub async fn answer(mut self) -> Answer<U::Answer> {
+    /// The final answer, at the request's last moment if not before. To be waited for once; giving that up loses nothing.
+    pub async fn answer(&mut self) -> Answer<U::Answer> {
         (&mut self.answer).await.unwrap_or(Answer::Failed)
     }
+
+    /// Sets its times anew, where they could not be known when it was taken.
+    pub fn set_due(&self, due: Instant, last: Instant) {
+        let Some(host) = self.host.upgrade() else { return };
+        let (due, last) = (host.clock.time(due), host.clock.time(last));
+        host.with(|engine, _| engine.set_due(self.id, due, last));
+    }
 }
 
 impl<U: Upstream> Drop for Taken<U> {
@@ -396,6 +406,17 @@
         self.host.upgrade().iter().for_each(|host| host.figures.forwards.inc());
     }
 
+    /// The same for a request that was not whole when it was taken: to be called once its last byte is on its way.
+    pub fn once_written(&self) -> impl FnOnce() + 'static {
+        let (host, attempt) = (self.host.clone(), self.attempt);
+        move || {
+            if let Some(host) = host.upgrade() {
+                host.figures.forwards.inc();
+                host.with(|engine, now| engine.written(now, attempt));
+            }
+        }
+    }
+
     /// Tells how the attempt ended.
     pub fn end(self, ended: Ended<U::Answer>) {
         let Some(host) = self.host.upgrade() else { return };
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -1,15 +1,16 @@
 //! The clients' side: takes connections and requests, checks them, and writes the final answers.
 
-use crate::gate::{self, Gate, Guard, Head, Next, Problem, MOST_BODY};
-use crate::upstream::HttpUpstream;
+use crate::body::{self, BodyError, Coming, First, Payload, Reply, Room, Upload};
+use crate::gate::{self, Gate, Guard, Head, Next, Problem};
+use crate::upstream::{HttpUpstream, MOST_BUFFERED};
 use birchswitch_engine::{Answer, Incoming};
 use birchswitch_host::pool::quiet;
-use birchswitch_host::{Host, Request as Taking};
+use birchswitch_host::{Host, Request as Taking, Taken};
 use birchswitch_site::Names;
 use bytes::Bytes;
 use finchvale::{ClassId, Effect, TenantId, Time};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming as Body;
+use http_body_util::Full;
+use hyper::body::{Body as HttpBody, Frame, Incoming as Body, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -18,13 +19,15 @@
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::spawn_local;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{timeout, Instant};
 
 /// Kept back from the client's time, for what lies between its send and the head's arrival here and for the
 /// answer's way back: at most this ...
@@ -35,9 +38,14 @@
 const OVERDUE: u32 = 4;
 /// A connection may wait this long for its first request, and a head may take as long; for the first one both count from
 /// the connecting. A client that sends nothing useful is owed a word or a close within 3 s of it.
-const FIRST: Duration = Duration::from_secs(2);
-/// The same for a request with its body.
-const WHOLE: Duration = Duration::from_millis(2500);
+const FIRST: Duration = Duration::from_millis(2500);
+/// The decisions on a request whose body still comes are over by then; it is set anew with the last byte, or once nothing
+/// more comes.
+const UPLOAD: Duration = Duration::from_secs(24 * 3600);
+/// How often it is looked whether an upload still moves.
+const UPLOAD_LOOK: Duration = Duration::from_millis(500);
+/// A client that takes nothing more of an answer for so long is given up.
+const TAKING: Duration = Duration::from_secs(10);
 /// A connection may wait this long for its next request ...
 const IDLE: Duration = Duration::from_secs(5);
 /// ... and at least this long, even where places are needed. One that has said nothing so far, or begun a head, has less
@@ -100,6 +108,8 @@
     effects: Vec<Effect>,
     phase: watch::Receiver<Phase>,
     most: u32,
+    /// For bodies that still come.
+    room: Rc<Room>,
     slots: Arc<Semaphore>,
     clients: RefCell<FxHashMap<u64, Rc<Client>>>,
     next_client: Cell<u64>,
@@ -128,6 +138,8 @@
     Late,
     /// A request is in hand.
     Busy,
+    /// An answer is passed on as it comes; `since` tells when some of it was last taken.
+    Passing,
     /// It waits for the next request.
     Idle,
     /// It is to close.
@@ -150,7 +162,7 @@
             Stage::New => FIRST_LEAST,
             Stage::Head | Stage::Late => HEAD_LEAST,
             Stage::Idle => IDLE_LEAST,
-            Stage::Busy | Stage::Leaving => return false,
+            Stage::Busy | Stage::Passing | Stage::Leaving => return false,
         };
         self.age() >= least && quiet(&self.socket)
     }
@@ -166,6 +178,7 @@
         match stage {
             // Never one on which a request has come that was not read yet.
             Stage::New if age >= FIRST => self.leave(),
+            Stage::Passing if age >= TAKING => self.leave(),
             Stage::Idle if age >= IDLE && quiet(&self.socket) => self.leave(),
             Stage::Head if age >= FIRST => {
                 self.stage.set(Stage::Late);
@@ -197,19 +210,20 @@
             Stage::New => self.stage.set(Stage::Head),
             Stage::Idle => self.enter(Stage::Head),
             Stage::Late => return Err((StatusCode::REQUEST_TIMEOUT, "the head took too long")),
-            Stage::Head | Stage::Busy | Stage::Leaving => {}
+            Stage::Head | Stage::Busy | Stage::Passing | Stage::Leaving => {}
         }
         Ok(())
     }
 }
 
 impl Front {
-    /// Takes at most `connections` at a time.
+    /// Takes at most `connections` at a time. Bodies too large to be held whole are kept for further attempts in `room`.
     pub fn new(
         host: Rc<Host<HttpUpstream>>,
         names: Rc<Names>,
         effects: Vec<Effect>,
         connections: u32,
+        room: Rc<Room>,
         phase: watch::Receiver<Phase>,
     ) -> Rc<Self> {
         Rc::new(Front {
@@ -218,6 +232,7 @@
             effects,
             phase,
             most: connections,
+            room,
             slots: Arc::new(Semaphore::new(connections as usize)),
             clients: RefCell::default(),
             next_client: Cell::new(0),
@@ -303,14 +318,19 @@
 
     async fn serve_connection(self: &Rc<Self>, client: &Rc<Client>) {
         let service = service_fn(|request: Request<Body>| async {
-            let since = client.since.get();
             client.enter(Stage::Busy);
             let mut response = match client.problem.get() {
-                Some((status, why)) if request.method() == TURNED_DOWN => turned_down(status, why),
+                Some((status, why)) if request.method() == TURNED_DOWN => {
+                    turned_down(status, why).map(|_| Sent::Whole(Full::new(why.into())))
+                }
                 _ => {
                     // Nobody but hyper knows where chunks end: what is behind them is not read.
                     let last = request.headers().contains_key(header::TRANSFER_ENCODING);
-                    let mut response = self.answer(request, since).await;
+                    let response = self.answer(request).await;
+                    let mut response = response.map(|body| match body {
+                        Reply::Whole(bytes) => Sent::Whole(Full::new(bytes)),
+                        Reply::Coming(coming) => Sent::Coming(coming, client.clone()),
+                    });
                     if last {
                         close(&mut response);
                     }
@@ -318,7 +338,8 @@
                 }
             };
             client.malformed.set(response.status().is_client_error());
-            client.enter(Stage::Idle);
+            let passing = matches!(response.body(), Sent::Coming(..));
+            client.enter(if passing { Stage::Passing } else { Stage::Idle });
             // A client that is told to close goes elsewhere next. Where places run short each is: many ask once and keep
             // their connection, and until those may be closed nobody else would get in.
             if *self.phase.borrow() > Phase::Serving || self.scarce() {
@@ -329,6 +350,7 @@
         // Times are kept here, by one look at all connections now and then, not by a timer on each.
         let connection = http1::Builder::new()
             .header_read_timeout(None)
+            .max_buf_size(MOST_BUFFERED)
             .serve_connection(TokioIo::new(Gate::new(client.socket.clone(), client.clone())), service);
         let mut connection = std::pin::pin!(connection);
         let mut phase = self.phase.clone();
@@ -364,8 +386,8 @@
         }
     }
 
-    /// Answers a request that has begun at `since`.
-    async fn answer(&self, request: Request<Body>, since: Instant) -> Response<Full<Bytes>> {
+    /// Answers a request.
+    async fn answer(&self, request: Request<Body>) -> Response<Reply> {
         let head = Instant::now();
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/health/ready") => {
@@ -377,37 +399,61 @@
             }
             _ => {}
         }
-        let (parts, body) = request.into_parts();
+        let (parts, mut body) = request.into_parts();
         let order = match self.read_head(&parts.method, &parts.uri, &parts.headers) {
             Ok(order) => order,
             Err((status, why)) => return turned_down(status, why),
         };
+        let first = match First::read(&mut body, |bytes| Some(body::until(head, bytes))).await {
+            Ok(first) => first,
+            Err(BodyError::Silent) => {
+                return turned_down(StatusCode::REQUEST_TIMEOUT, "the body took too long");
+            }
+            Err(_) => return turned_down(StatusCode::BAD_REQUEST, "the body is not whole"),
+        };
+        // A request's time counts from its last byte.
         let margin = MARGIN.min(order.wait / MARGIN_PART);
-        let due = head + order.wait - margin;
-        let whole = Limited::new(body, MOST_BODY as usize).collect();
-        let body = match timeout_at(due.min(since + WHOLE), whole).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                return turned_down(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+        let times = |last_byte: Instant| {
+            let due = last_byte + order.wait - margin;
+            (due, due + margin / OVERDUE)
+        };
+        let (payload, upload) = match first.whole {
+            true => (Payload::Whole(first.joined()), None),
+            false => {
+                let upload = Upload::new(first.parts, body, head, self.room.clone(), order.wait);
+                (Payload::Coming(upload.clone()), Some(upload))
             }
-            Ok(Err(_)) => return turned_down(StatusCode::BAD_REQUEST, "the body is not whole"),
-            Err(_) => return turned_down(StatusCode::REQUEST_TIMEOUT, "the body took too long"),
         };
-        let mut outgoing = Request::new(body);
+        let (due, last) = match &upload {
+            None => times(Instant::now()),
+            Some(_) => (head + UPLOAD, head + UPLOAD),
+        };
+        let mut outgoing = Request::new(payload);
         *outgoing.method_mut() = parts.method;
         *outgoing.uri_mut() = order.target;
         *outgoing.headers_mut() = end_to_end(parts.headers);
         let Order { class, tenant, work, id: name, .. } = order;
         // The host fills in the times.
         let (no_due, no_last) = (Time(0), Time(0));
-        let incoming = Incoming { class, tenant, work, due: no_due, last: no_last, name, request: outgoing };
-        let Ok(taken) = self.host.arrive(Taking { incoming, due, last: due + margin / OVERDUE }) else {
+        let whole = upload.is_none();
+        let incoming =
+            Incoming { class, tenant, work, whole, due: no_due, last: no_last, name, request: outgoing };
+        let Ok(mut taken) = self.host.arrive(Taking { incoming, due, last }) else {
             return turned_down(StatusCode::CONFLICT, "a request of this X-Request-ID is open");
         };
-        match taken.answer().await {
+        let answer = match upload {
+            None => taken.answer().await,
+            Some(upload) => {
+                let answer = uploading(&mut taken, &upload, times).await;
+                // A client reads nothing before it has written all.
+                spawn_local(upload.drain());
+                answer
+            }
+        };
+        match answer {
             Answer::Served(response) => {
                 let (head, body) = response.into_parts();
-                let mut response = Response::new(Full::new(body));
+                let mut response = Response::new(body);
                 *response.headers_mut() = end_to_end(head.headers);
                 response
             }
@@ -473,6 +519,83 @@
     }
 }
 
+/// Waits for the answer to a request whose body still comes. Its time begins with the last byte, and is over where nothing more
+/// comes or is taken.
+async fn uploading(
+    taken: &mut Taken<HttpUpstream>,
+    upload: &Rc<Upload>,
+    times: impl Fn(Instant) -> (Instant, Instant),
+) -> Answer<Response<Reply>> {
+    let mut open = true;
+    loop {
+        tokio::select! {
+            biased;
+            answer = taken.answer() => return answer,
+            () = upload.whole(), if open => {
+                open = false;
+                let (due, last) = times(Instant::now());
+                taken.set_due(due, last);
+            }
+            () = tokio::time::sleep(UPLOAD_LOOK), if open => {
+                if upload.stuck() {
+                    open = false;
+                    taken.set_due(Instant::now(), Instant::now());
+                }
+            }
+        }
+    }
+}
+
+/// An answer's body on its way to the client.
+enum Sent {
+    /// All of it.
+    Whole(Full<Bytes>),
+    /// It still comes.
+    Coming(Coming, Rc<Client>),
+}
+
+impl HttpBody for Sent {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Sent::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Sent::Coming(body, client) => {
+                // Asked for more, since what there was has gone.
+                if client.stage.get() == Stage::Passing {
+                    client.since.set(Instant::now());
+                }
+                Pin::new(body).poll_frame(cx)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Sent::Whole(body) => body.is_end_stream(),
+            Sent::Coming(body, _) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Sent::Whole(body) => body.size_hint(),
+            Sent::Coming(body, _) => body.size_hint(),
+        }
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        if let Sent::Coming(_, client) = self {
+            if client.stage.get() == Stage::Passing {
+                client.enter(Stage::Idle);
+            }
+        }
+    }
+}
+
 /// What a request's head says.
 struct Order {
     class: ClassId,
@@ -483,13 +606,13 @@
     target: Uri,
 }
 
-fn close(response: &mut Response<Full<Bytes>>) {
+fn close<B>(response: &mut Response<B>) {
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
 }
 
 /// The answer to what is malformed. Nothing more is read on its connection: who sends one such thing is not trusted to
 /// have begun the next where it seems to.
-fn turned_down(status: StatusCode, why: &'static str) -> Response<Full<Bytes>> {
+fn turned_down(status: StatusCode, why: &'static str) -> Response<Reply> {
     let mut response = plain(status, why);
     close(&mut response);
     response
@@ -508,8 +631,8 @@
     }
 }
 
-fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(text.into()));
+fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Reply> {
+    let mut response = Response::new(Reply::Whole(text.into()));
     *response.status_mut() = status;
     response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,9 +4,11 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod body;
 mod front;
 mod gate;
 mod upstream;
 
+pub use body::Room;
 pub use front::{Front, Phase};
 pub use upstream::{HttpUpstream, Limits};
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -225,7 +225,7 @@
                     self.requests.remove(&request);
                 }
             }
-            Event::Begun { .. } | Event::Timer { .. } | Event::Probed(_) => {}
+            Event::Begun { .. } | Event::Written { .. } | Event::Timer { .. } | Event::Probed(_) => {}
         }
     }
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -467,6 +467,7 @@
         self.book.tries += 1;
         let due = Time(ends.0.saturating_sub(MARGIN.as_nanos() as u64));
         let incoming = Incoming {
+            whole: true,
             class: ClassId(o.class),
             tenant: TenantId(o.tenant),
             work: Some(seconds(o.work)),
--- a/crates/standin/src/scripted/wire.rs
+++ b/crates/standin/src/scripted/wire.rs
@@ -165,8 +165,14 @@
 
     /// Waits for the other side to close, whatever it still says.
     pub async fn ended(&mut self) {
+        self.rest().await;
+    }
+
+    /// What the other side still says before it closes.
+    pub async fn rest(&mut self) -> Vec<u8> {
         let mut rest = Vec::new();
         let _ = within("the connection's end", self.0.read_to_end(&mut rest)).await;
+        rest
     }
 
     /// Answers with further header lines, each ended, and a body.
--- a/crates/thrift-proxy/src/front.rs
+++ b/crates/thrift-proxy/src/front.rs
@@ -5,7 +5,7 @@
 use crate::upstream::{Call, ThriftUpstream};
 use birchswitch_engine::{Answer, Incoming};
 use birchswitch_host::pool::quiet;
-use birchswitch_host::{Host, Request, Taken};
+use birchswitch_host::{Host, Request};
 use birchswitch_site::Names;
 use birchswitch_thrift::detect::Dialect;
 use birchswitch_thrift::walk::{self, Header, Message, Paths, Value};
@@ -451,6 +451,7 @@
             class: order.class,
             tenant: order.tenant,
             work: order.work,
+            whole: true,
             due: Time(0),
             last: Time(0),
             name,
@@ -458,7 +459,7 @@
         };
         let taken = self.host.arrive(Request { incoming, due, last: due + margin / OVERDUE });
         let answer = match taken {
-            Ok(taken) => Taken::answer(taken).await,
+            Ok(mut taken) => taken.answer().await,
             Err(birchswitch_engine::Duplicate) => Answer::Failed,
         };
         if order.oneway {
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -160,6 +160,7 @@
                 class: ClassId(r[11]),
                 remaining: ns(20),
                 work: (r[36] & 1 != 0).then(|| ns(28)),
+                whole: true,
             })),
             25 => {
                 Record::Event(Event::Begun { request: request(), attempt: u32::from(r[9]), latency: ns(14) })
--- a/examples/by_hand.rs
+++ b/examples/by_hand.rs
@@ -55,8 +55,14 @@
         let request = RequestId(from_ms * 1000 + k);
         let remaining = Duration::from_secs(2);
         let mut actions = vec![];
-        let arrival =
-            Arrival { request, class: ClassId((k % 2) as u8), tenant: TenantId(0), remaining, work: None };
+        let arrival = Arrival {
+            request,
+            class: ClassId((k % 2) as u8),
+            tenant: TenantId(0),
+            remaining,
+            work: None,
+            whole: true,
+        };
         balancer.handle(now, Event::Arrival(arrival), &mut actions);
         let (mut n, mut attempt) = (0, 0);
         while n < actions.len() {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -11,7 +11,7 @@
 
 use birchswitch_figures::Figures;
 use birchswitch_host::Host;
-use birchswitch_http::{Front, HttpUpstream, Limits, Phase};
+use birchswitch_http::{Front, HttpUpstream, Limits, Phase, Room};
 use birchswitch_membership::{Directory, Discovery};
 use config::{Config, RESERVED_SOCKETS};
 use std::error::Error;
@@ -30,6 +30,9 @@
 /// Most that one request may hold: its body and answer, and the buffers of both connections. Measured with bodies of the
 /// largest kind at every place.
 const REQUEST_MEMORY: usize = 200 << 10;
+/// The part of memory in which large bodies are kept for further attempts, and the same for large answers that clients have not
+/// taken yet.
+const PASSING_PART: usize = 8;
 /// Connections that the system holds until they are accepted.
 const BACKLOG: u32 = 1024;
 
@@ -68,16 +71,17 @@
     // What the operator's listeners may take is theirs.
     let taken = config.operator.taken();
     let (sockets, memory) = (config.sockets - taken.sockets, config.memory - taken.memory);
-    // Three quarters of memory are for requests; clients and backends share what descriptors there are. That is more
+    // Five eighths of memory are for requests, two for large ones that pass through; clients and backends share what descriptors there are. That is more
     // than the third that clients need for requests: the rest is for those that say nothing.
-    let clients = ((sockets - RESERVED_SOCKETS) / 2).min(memory / 4 * 3 / REQUEST_MEMORY).max(1);
+    let clients = ((sockets - RESERVED_SOCKETS) / 2).min(memory / 8 * 5 / REQUEST_MEMORY).max(1);
     let limits = Limits {
         connections: sockets - RESERVED_SOCKETS - clients,
         connect_timeout: or(settings.connect_timeout, Duration::from_millis(250)),
         conn_idle: or(settings.conn_idle, Duration::from_secs(5)),
     };
     let names = Rc::new(config.site.names);
-    let upstream = HttpUpstream::new(limits, names.clone(), config.site.fields);
+    let upstream =
+        HttpUpstream::new(limits, names.clone(), config.site.fields, Room::new(memory / PASSING_PART));
     let asked = settings.list_on_request;
     let directory = Directory::new(names.clone());
     let figures = Figures::new(&names.classes)?;
@@ -123,7 +127,14 @@
         listeners.iter().for_each(|l| desk.add(l.host().clone()));
         desk.serve()?;
     }
-    let front = Front::new(host.clone(), names.clone(), effects, clients as u32, phases);
+    let front = Front::new(
+        host.clone(),
+        names.clone(),
+        effects,
+        clients as u32,
+        Room::new(memory / PASSING_PART),
+        phases,
+    );
     let waiting = host.clone();
     let served = spawn_local(async move {
         // Another process may serve from the same queue: what is taken before there are servers would be lost to it.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -307,6 +307,8 @@
     pub remaining: Duration,
     /// Expected work on a standard core, if known.
     pub work: Option<Duration>,
+    /// All of it is there. Else an attempt begins to count with [`Event::Written`]: until then its server only waits.
+    pub whole: bool,
 }
 
 /// An attempt ended.
@@ -362,6 +364,13 @@
         /// Time from the send.
         latency: Duration,
     },
+    /// The last byte of an attempt whose request was not whole has been sent: its server can begin.
+    Written {
+        /// The request.
+        request: RequestId,
+        /// The attempt, counted from 0.
+        attempt: u32,
+    },
     /// An attempt ended.
     Ended(Ended),
     /// The client left; nothing is owed.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -66,6 +66,7 @@
 //!     tenant: TenantId(0),
 //!     remaining: second,
 //!     work: None,
+//!     whole: true,
 //! };
 //! balancer.handle(Time(2), Event::Arrival(arrival), &mut actions);
 //! assert!(matches!(actions[..], [Action::Send { server: ServerId(7), .. }]));
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -76,10 +76,12 @@
     let Some(r) = b.requests.get_mut(&id) else { return };
     let s = &mut b.servers[i];
     let fresh = !s.connected(now, b.settings.conn_idle);
-    s.out.push(now);
-    let told = s.held;
+    let told = s.held.filter(|_| r.whole);
     let cold = s.warmth(&b.settings.rules, now) < 1.0;
-    s.held = told.map(|held| held + 1.0);
+    if r.whole {
+        s.out.push(now);
+        s.held = told.map(|held| held + 1.0);
+    }
     b.sends.add(now, 1.0);
     b.markets[usize::from(r.class.0)].steady.add(now, 1.0);
     let (server, zone, cell) = (s.id, s.zone, s.cell);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -82,6 +82,7 @@
                     market::answered(self, now, server, latency.as_secs_f64());
                 }
             }
+            Event::Written { request, attempt } => self.written(now, request, attempt),
             Event::Ended(end) => ended(self, now, &end, actions),
             Event::ClientGone { request } => self.client_gone(request),
             Event::Timer { timer } if self.list_timer == Some(timer) => {
@@ -120,7 +121,8 @@
     let work = a.work.map(|w| w.as_secs_f64());
     let (attempts, asked) = (Vec::new(), Vec::new());
     let ends = now + a.remaining;
-    let r = Request { class, arrived: now, ends, work, open: true, begun: false, attempts, asked };
+    let (open, begun, whole) = (true, false, a.whole);
+    let r = Request { class, arrived: now, ends, work, open, begun, whole, attempts, asked };
     b.requests.insert(a.request, r);
     attempts::earn(b);
     b.markets[usize::from(class.0)].arrivals.add(now, 1.0);
@@ -150,16 +152,18 @@
     let (server, sent, fresh, attempt) = (a.server, a.sent, a.fresh, *a);
     r.open &= !end.closed;
     let (streamed, over) = (r.begun, !r.open || !r.idle());
-    let (class, work) = (r.class, r.work);
-    b.returned(server, sent);
+    let (class, work, whole) = (r.class, r.work, r.whole);
+    if whole {
+        b.returned(server, sent);
+    }
     b.learn_connection(now, server, fresh, end.outcome);
-    if let (Outcome::Served, None) = (end.outcome, work) {
+    if let (Outcome::Served, None, true) = (end.outcome, work, whole) {
         b.markets[usize::from(class.0)].learn_work(end.latency.as_secs_f64());
     }
     estimate::learn(b, now, end, &attempt, work);
     admission::met(b, now, end, class, work);
     match end.outcome {
-        Outcome::Served if !streamed => market::answered(b, now, server, end.latency.as_secs_f64()),
+        Outcome::Served if !streamed && whole => market::answered(b, now, server, end.latency.as_secs_f64()),
         Outcome::Served | Outcome::Cancelled | Outcome::NotSent => {}
         outcome => market::failed(b, now, server, outcome),
     }
--- a/src/policy/tests/attempts.rs
+++ b/src/policy/tests/attempts.rs
@@ -15,6 +15,7 @@
     let asked = Vec::new();
     let (class, attempts) = (ClassId(0), Vec::new());
     let r = Request {
+        whole: true,
         class,
         arrived: at(1),
         ends: at(900),
--- a/src/state.rs
+++ b/src/state.rs
@@ -199,6 +199,8 @@
     pub open: bool,
     /// A streamed answer has begun.
     pub begun: bool,
+    /// Its attempts' servers have all of it as soon as they are sent it.
+    pub whole: bool,
     pub attempts: Vec<Attempt>,
     /// Servers probed for it, with the load each has answered.
     pub asked: Vec<(ServerId, Option<f64>)>,
@@ -388,6 +390,19 @@
         }
     }
 
+    /// A server has all of an attempt from now on: it counts as one that was sent now.
+    pub(crate) fn written(&mut self, now: Time, id: RequestId, attempt: u32) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.whole) else { return };
+        let Some(a) = r.attempts.get_mut(attempt as usize).filter(|a| !a.ended) else { return };
+        r.whole = true;
+        a.sent = now;
+        let Some(&i) = self.index.get(&a.server) else { return };
+        let s = &mut self.servers[i];
+        a.told = s.held;
+        s.out.push(now);
+        s.held = s.held.map(|held| held + 1.0);
+    }
+
     /// Drops a request that is answered and has nothing out.
     pub(crate) fn forget(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|r| !r.open && r.idle()) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -56,6 +56,7 @@
                 let class = ClassId(class % 5);
                 let (request, tenant) = (RequestId(id), TenantId(0));
                 w.feed(Event::Arrival(Arrival {
+                    whole: true,
                     request,
                     class,
                     tenant,
