--- a/crates/engine/tests/rules.rs
+++ b/crates/engine/tests/rules.rs
@@ -586,3 +586,54 @@
         assert_eq!(http, thrift, "seed {seed}");
     }
 }
+
+/// Sends each request to the first server and keeps what it is told of the end.
+struct First(std::rc::Rc<std::cell::RefCell<Vec<finchvale::Ended>>>);
+
+impl Decide for First {
+    fn handle(&mut self, _: Time, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Arrival(a) => {
+                actions.push(Action::Send { request: a.request, server: ServerId(0), limit: None });
+            }
+            Event::Ended(end) => self.0.borrow_mut().push(end),
+            _ => {}
+        }
+    }
+}
+
+/// While a body comes its client's time has not begun, nor its server's: both count from the last byte.
+#[test]
+fn times_count_from_the_last_byte_of_a_body_that_comes_late() {
+    let ends = std::rc::Rc::default();
+    let mut engine: Engine<First, u32, u32> = Engine::new(First(std::rc::Rc::clone(&ends)), &settings(false));
+    let start = Time(1_000_000_000);
+    engine.list(start, ListKind::Full, vec![entry(0, ServerState::Ready)]);
+    let incoming = Incoming {
+        whole: false,
+        class: ClassId(UNSAFE),
+        tenant: TenantId(0),
+        work: None,
+        due: start + 100_000 * MS,
+        last: start + 100_000 * MS,
+        name: b"r".to_vec().into(),
+        request: 7,
+    };
+    let request = engine.arrive(start, incoming).expect("a new name");
+    let attempt = AttemptId { request, number: 0 };
+    assert!(matches!(engine.command(), Some(Command::Start { .. })));
+    assert!(matches!(engine.clear(start, attempt), Clearance::Go(_)));
+    let whole = start + 5000 * MS;
+    engine.wake(whole);
+    assert!(engine.command().is_none(), "it still comes");
+    engine.written(whole, attempt);
+    engine.set_due(request, whole + 100 * MS, whole + 105 * MS);
+    assert_eq!(engine.next_wake(), Some(whole + 100 * MS));
+    engine.wake(whole + 100 * MS);
+    assert!(matches!(engine.command(), Some(Command::Cancel(a)) if a == attempt));
+    assert_eq!((ends.borrow()[0].outcome, ends.borrow()[0].latency), (Outcome::TimedOut, 100 * MS));
+    engine.wake(whole + 105 * MS);
+    assert!(matches!(engine.command(), Some(Command::Answer { answer: Answer::Failed, .. })));
+    engine.set_due(request, whole + 900 * MS, whole + 900 * MS);
+    assert_eq!((engine.next_wake(), engine.in_hand()), (None, 0), "it is over");
+}
--- a/src/policy/tests/market.rs
+++ b/src/policy/tests/market.rs
@@ -328,3 +328,29 @@
     let (_, left) = swing(delay(2.0), load);
     assert!(left > 0.5, "does not die out: {left}");
 }
+
+/// A server waits for a body that still comes, and is not late: taken for late it was shunned for as long as the upload took.
+#[test]
+fn an_upload_is_not_its_servers_slowness() {
+    for whole in [true, false] {
+        let mut b = balancer(4);
+        let Event::Arrival(a) = arrival(1, 0) else { unreachable!("an arrival") };
+        let mut actions = vec![];
+        b.handle(at(1), Event::Arrival(Arrival { whole, remaining: ms(60_000), ..a }), &mut actions);
+        let server = actions.iter().find_map(|a| match a {
+            Action::Send { server, .. } => Some(*server),
+            _ => None,
+        });
+        let server = server.expect("sent");
+        let wait = |b: &mut Balancer, from: u64| {
+            (from..from + 40).for_each(|t| drop(market::solve(b, at(t * 100))));
+            let price = |of: &dyn Fn(ServerId) -> bool| {
+                b.servers.iter().filter(|s| of(s.id)).map(|s| s.price).fold(0.0, f64::max)
+            };
+            price(&|id| id == server) > price(&|id| id != server)
+        };
+        assert_eq!(wait(&mut b, 1), whole, "dear for an answer that is owed only");
+        b.handle(at(4200), Event::Written { request: RequestId(1), attempt: 0 }, &mut actions);
+        assert!(wait(&mut b, 43), "from here on it owes one");
+    }
+}
