Front and figures: one place turns answers into bodies, ends are counted by their own order

Read again after the work: answers that are turned down were made into bodies apart from all others, and each count of a request looked its end up in a table.

--- a/crates/figures/src/lib.rs
+++ b/crates/figures/src/lib.rs
@@ -33,18 +33,13 @@
     Aborted,
 }
 
-impl Disposition {
-    const ALL: [(Disposition, &'static str); 3] = [
-        (Disposition::Succeeded, "succeeded"),
-        (Disposition::Declined, "declined"),
-        (Disposition::Aborted, "aborted"),
-    ];
-}
+/// The figures' words, in the order of [`Disposition`].
+const DISPOSITIONS: [&str; 3] = ["succeeded", "declined", "aborted"];
 
 /// See the crate's own words. Counts from 0 with each process.
 pub struct Figures {
     registry: Registry,
-    /// For each class, in the order of [`Disposition::ALL`].
+    /// For each class, in the order of [`Disposition`].
     results: Vec<[IntCounter; 3]>,
     /// Attempts written whole to servers.
     pub forwards: IntCounter,
@@ -70,9 +65,7 @@
         )?;
         registry.register(Box::new(results.clone()))?;
         // All of them are there from the start: a collector that has seen no 0 can't tell a first one.
-        let of = |class: &String| {
-            Disposition::ALL.map(|(_, name)| results.with_label_values(&[class.as_str(), name]))
-        };
+        let of = |class: &String| DISPOSITIONS.map(|name| results.with_label_values(&[class.as_str(), name]));
         let results = classes.iter().map(of).collect();
         let counter = |name: &str, help: &str| {
             let counter = IntCounter::new(name, help)?;
@@ -96,9 +89,8 @@
 
     /// Counts a request of a class, by its place in the settings. Classes that the settings don't name are not counted.
     pub fn ended(&self, class: usize, disposition: Disposition) {
-        let at = Disposition::ALL.iter().position(|d| d.0 == disposition);
-        if let Some(counter) = self.results.get(class).zip(at).and_then(|(counters, at)| counters.get(at)) {
-            counter.inc();
+        if let Some(counters) = self.results.get(class) {
+            counters[disposition as usize].inc();
         }
     }
 
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -319,24 +319,22 @@
     async fn serve_connection(self: &Rc<Self>, client: &Rc<Client>) {
         let service = service_fn(|request: Request<Body>| async {
             client.enter(Stage::Busy);
-            let mut response = match client.problem.get() {
-                Some((status, why)) if request.method() == TURNED_DOWN => {
-                    turned_down(status, why).map(|_| Sent::Whole(Full::new(why.into())))
-                }
+            let response = match client.problem.get() {
+                Some((status, why)) if request.method() == TURNED_DOWN => turned_down(status, why),
                 _ => {
                     // Nobody but hyper knows where chunks end: what is behind them is not read.
                     let last = request.headers().contains_key(header::TRANSFER_ENCODING);
-                    let response = self.answer(request).await;
-                    let mut response = response.map(|body| match body {
-                        Reply::Whole(bytes) => Sent::Whole(Full::new(bytes)),
-                        Reply::Coming(coming) => Sent::Coming(coming, client.clone()),
-                    });
+                    let mut response = self.answer(request).await;
                     if last {
                         close(&mut response);
                     }
                     response
                 }
             };
+            let mut response = response.map(|body| match body {
+                Reply::Whole(bytes) => Sent::Whole(Full::new(bytes)),
+                Reply::Coming(coming) => Sent::Coming(coming, client.clone()),
+            });
             client.malformed.set(response.status().is_client_error());
             let passing = matches!(response.body(), Sent::Coming(..));
             client.enter(if passing { Stage::Passing } else { Stage::Idle });
