Settings: prices of probes and handshakes, the node's number, names alike at all nodes

The site tells prices and me, and crates/site skipped both. A price that is missing, negative or no number counts as none. Servers stand on one ring by a hash of their names, the same at every node; a node begins at its own part of it, or anywhere where its number is not told. Nothing decides by prices yet; blind nodes' subsets now lie evenly.

--- a/crates/engine/tests/rules.rs
+++ b/crates/engine/tests/rules.rs
@@ -33,6 +33,8 @@
     let keyed = Effect::Keyed { group: Group::Cell, window: WINDOW };
     Settings {
         nodes: 1,
+        me: None,
+        prices: Prices::default(),
         zone: ZoneId(0),
         zones: 1,
         classes: vec![class(Effect::Safe), class(keyed), class(Effect::Unsafe)],
@@ -64,6 +66,7 @@
 fn entry(server: u32, state: ServerState) -> ServerEntry {
     ServerEntry {
         server: ServerId(server),
+        name: u64::from(server),
         zone: ZoneId(0),
         kind: KindId(0),
         cell: CellId(server as u16 / 2),
--- a/crates/lab/benches/decide.rs
+++ b/crates/lab/benches/decide.rs
@@ -25,6 +25,7 @@
         let mut balancer = Balancer::new(settings, 7, now).expect("sound settings");
         let entry = |s: u32| ServerEntry {
             server: ServerId(s),
+            name: u64::from(s),
             zone: ZoneId((s % 5) as u8),
             kind: KindId(0),
             cell: CellId((s / 6) as u16),
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -17,7 +17,7 @@
 //! key is remembered by a cell. Times are seconds, work is seconds on one core of the yardstick.
 
 use crate::model::{Capacity, Crowd};
-use finchvale::{Class, Effect, Group, Reports, Rules, Settings, Tenant, ZoneId};
+use finchvale::{Class, Effect, Group, Prices, Reports, Rules, Settings, Tenant, ZoneId};
 use serde::Deserialize;
 use std::time::Duration;
 
@@ -115,6 +115,8 @@
     pub reports: ReportsOf,
     /// Delays between the parts.
     pub network: Network,
+    /// What the site takes off for what nodes do.
+    pub prices: PricesOf,
     /// What goes wrong, in any order.
     pub fault: Vec<Fault>,
 }
@@ -183,6 +185,16 @@
     pub spread: f64,
 }
 
+/// What is taken off the worth kept, for each first try.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PricesOf {
+    /// For a probe.
+    pub probe: f64,
+    /// For a new connection.
+    pub handshake: f64,
+}
+
 /// A fault with its time.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Fault {
@@ -316,6 +328,7 @@
             servers: Servers::default(),
             reports: ReportsOf::default(),
             network: Network::default(),
+            prices: PricesOf::default(),
             fault: Vec::new(),
         }
     }
@@ -399,6 +412,8 @@
             ("network.cross", self.network.cross),
             ("network.notice", self.network.notice),
             ("network.spread", self.network.spread),
+            ("prices.probe", self.prices.probe),
+            ("prices.handshake", self.prices.handshake),
         ] {
             within(key, value, time, "0 or more")?;
         }
@@ -435,7 +450,7 @@
     }
 
     /// What a node is told at its start.
-    pub fn settings(&self, size: Size, zone: u8) -> Settings {
+    pub fn settings(&self, size: Size, node: u32) -> Settings {
         let class = |effect, worth| Class {
             effect,
             aim: seconds(self.aim),
@@ -451,7 +466,9 @@
         let all = self.rate(size) / self.load * 0.85;
         Settings {
             nodes: size.nodes,
-            zone: ZoneId(zone),
+            me: Some(node),
+            prices: Prices { probe: self.prices.probe, handshake: self.prices.handshake },
+            zone: ZoneId((node % u32::from(self.network.halls)) as u8),
             zones: self.network.halls,
             classes: vec![class(Effect::Unsafe, 8.0), class(keyed, 10.0)],
             tenants: TENANTS.map(|part| Tenant { quota_per_s: part * all }).into(),
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -287,7 +287,7 @@
         let mut nodes = Vec::new();
         for n in 0..size.nodes {
             let zone = (n % u32::from(halls)) as u8;
-            let settings = scenario.settings(size, zone);
+            let settings = scenario.settings(size, n);
             let decide = peer.decide(
                 settings.clone(),
                 Chance::new(seed, 1000 + u64::from(n)).bits(),
@@ -805,6 +805,7 @@
         let m = &self.hall.borrow().machines[server];
         ServerEntry {
             server: ServerId(server as u32),
+            name: server as u64,
             zone: ZoneId(m.zone),
             kind: KindId(0),
             cell: CellId(m.cell),
--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -3,7 +3,8 @@
 use crate::list::{Phase, ServerList};
 use birchswitch_site::Names;
 use finchvale::{CellId, KindId, ServerEntry, ServerId, ServerState, Time, ZoneId};
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::{FxBuildHasher, FxHashMap, FxHashSet};
+use std::hash::BuildHasher;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -44,6 +45,8 @@
     listed: ServerState,
     target: Target,
     started: Option<Time>,
+    /// Of its name, without a seed: nodes have to agree on it.
+    hash: u64,
     place: (ZoneId, KindId, CellId),
     weight: f64,
 }
@@ -52,7 +55,7 @@
     fn entry(&self) -> ServerEntry {
         let (zone, kind, cell) = self.place;
         let (server, state, started) = (self.target.server, self.target.state, self.started);
-        ServerEntry { server, zone, kind, cell, state, weight: self.weight, started }
+        ServerEntry { server, name: self.hash, zone, kind, cell, state, weight: self.weight, started }
     }
 }
 
@@ -132,13 +135,14 @@
                         || known.target.address != address
                         || state == ServerState::Draining;
                     let target = Target { address, state, renewed, ..known.target };
-                    Known { listed, target, started, place, weight: member.size }
+                    Known { listed, target, started, place, weight: member.size, ..known }
                 }
                 (None, Some(address)) if state != ServerState::Gone => {
                     let server = ServerId(self.next);
                     self.next = self.next.wrapping_add(1);
                     let target = Target { server, address, state, renewed: false };
-                    Known { listed, target, started, place, weight: member.size }
+                    let hash = FxBuildHasher.hash_one(&member.id);
+                    Known { listed, target, started, hash, place, weight: member.size }
                 }
                 _ => continue,
             };
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -1,18 +1,20 @@
 //! The JSON settings of an instance, turned into [`finchvale::Settings`].
 //!
-//! Read and passed on: `balancers`, `profiles` (with `runs_in` and `kinds_open`), `registry_mode`, `report`,
+//! Read and passed on: `balancers`, `me`, `prices.probe` and `prices.handshake`, `profiles` (with `runs_in` and `kinds_open`), `registry_mode`, `report`,
 //! `rules`, `tenants`, `over_share_worth`, `weights`, `worth_by`, `zone`, `zones`, and of `limits` the attempts, the
 //! permissions, the advice on waits, `conn_idle_ns` and `connect_timeout_ns`. The names of classes, tenants, zones,
 //! kinds and report values are kept beside the settings, for a node that meets them in messages.
 //!
-//! Skipped, since no decision uses them yet: `prices`, `goal`, `clients`, `extra`, `me`, `tier`,
+//! A price that is missing, negative or no number counts as none: a wrong price is no reason to turn a site down.
+//!
+//! Skipped, since no decision uses them yet: the other `prices`, `goal`, `clients`, `extra`, `tier`,
 //! `tiers`, `tick_ns`, `limits.max_open`, `limits.streams_per_conn`, `limits.cpu_*`, `limits.peer_messages`,
 //! `rules.answer_slack_ns` (answers are given by the deadline itself) and the report value `errors_per_s`.
 
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
-use finchvale::{Class, Effect, Group, KindId, LoadReport, Reports, Rules, Settings, Tenant, ZoneId};
+use finchvale::{Class, Effect, Group, KindId, LoadReport, Prices, Reports, Rules, Settings, Tenant, ZoneId};
 use serde::Deserialize;
 use std::time::Duration;
 
@@ -90,6 +92,9 @@
 struct Doc {
     #[serde(default = "one")]
     balancers: u32,
+    me: Option<u32>,
+    #[serde(default)]
+    prices: PricesDoc,
     profiles: Vec<Profile>,
     registry_mode: Mode,
     limits: Limits,
@@ -111,6 +116,19 @@
     kinds: Vec<String>,
 }
 
+/// Any JSON is borne.
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct PricesDoc {
+    probe: serde_json::Value,
+    handshake: serde_json::Value,
+}
+
+/// A price in parts of a mean request's worth.
+fn price(value: &serde_json::Value) -> f64 {
+    value.as_f64().filter(|p| p.is_finite() && *p >= 0.0).unwrap_or(0.0)
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Mode {
@@ -263,6 +281,8 @@
     });
     let settings = Settings {
         nodes: doc.balancers,
+        me: doc.me,
+        prices: Prices { probe: price(&doc.prices.probe), handshake: price(&doc.prices.handshake) },
         zone: ZoneId(doc.zone),
         zones: u8::try_from(doc.zones.len().max(1)).unwrap_or(u8::MAX),
         classes: classes.collect(),
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -212,6 +212,7 @@
         for e in lines.chunks_exact(ENTRY) {
             entries.push(ServerEntry {
                 server: ServerId(int::<4>(e, 0) as u32),
+                name: int::<4>(e, 0),
                 zone: ZoneId(e[4]),
                 kind: KindId(e[5]),
                 cell: CellId(int::<2>(e, 6) as u16),
--- a/examples/by_hand.rs
+++ b/examples/by_hand.rs
@@ -18,6 +18,8 @@
     };
     Settings {
         nodes: 1,
+        me: None,
+        prices: Prices::default(),
         zone: ZoneId(0),
         zones: 1,
         classes: vec![class(Effect::Safe, 1.0), class(Effect::Unsafe, 5.0)],
@@ -97,6 +99,7 @@
     let entries = (0..4)
         .map(|s| ServerEntry {
             server: ServerId(s),
+            name: u64::from(s),
             zone: ZoneId(0),
             kind: KindId(0),
             cell: CellId(0),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -141,11 +141,24 @@
     pub ask_within: Duration,
 }
 
+/// What a site counts for each of these, as a part of the worth of a mean request. 0: nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Prices {
+    /// One probe.
+    pub probe: f64,
+    /// One new connection to a server.
+    pub handshake: f64,
+}
+
 /// All that a balancer is told at start.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Nodes in this tier, this one included.
     pub nodes: u32,
+    /// Which of them this one is, from 0; `None` where that is not told.
+    pub me: Option<u32>,
+    /// What the site pays for a node's asking and connecting.
+    pub prices: Prices,
     /// Where this node stands.
     pub zone: ZoneId,
     /// Number of zones.
@@ -224,6 +237,8 @@
 pub struct ServerEntry {
     /// The server.
     pub server: ServerId,
+    /// Names it alike at every node, where `server` may differ.
+    pub name: u64,
     /// Its location.
     pub zone: ZoneId,
     /// Its machine kind.
@@ -460,6 +475,8 @@
         least("rules.cold_from", self.rules.cold_from, 0.0, 1.0)?;
         least("rules.fall_multiple", self.rules.fall_multiple, 0.0, f64::MAX)?;
         least("nodes", f64::from(self.nodes), 1.0, f64::MAX)?;
+        least("prices.probe", self.prices.probe, 0.0, f64::MAX)?;
+        least("prices.handshake", self.prices.handshake, 0.0, f64::MAX)?;
         least("max_attempts", f64::from(self.max_attempts), 1.0, f64::MAX)?;
         if self.zone.0 >= self.zones {
             return Err(SettingsError::UnknownZone { zone: self.zone.0, zones: self.zones });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,8 @@
 //! let second = Duration::from_secs(1);
 //! let settings = Settings {
 //!     nodes: 1,
+//!     me: None,
+//!     prices: Prices::default(),
 //!     zone: ZoneId(0),
 //!     zones: 1,
 //!     classes: vec![Class {
@@ -52,6 +54,7 @@
 //! let mut actions = Vec::new();
 //! let entry = ServerEntry {
 //!     server: ServerId(7),
+//!     name: 7,
 //!     zone: ZoneId(0),
 //!     kind: KindId(0),
 //!     cell: CellId(0),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -23,7 +23,7 @@
 mod helpers;
 
 use crate::interface::*;
-use crate::state::{Balancer, Market, Rate, Request, UsualHeld};
+use crate::state::{uniform, Balancer, Market, Rate, Request, UsualHeld};
 use rand_core::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rustc_hash::FxHashMap;
@@ -38,7 +38,11 @@
         let leader = |c: &Class| settings.classes.iter().position(|other| same(other, c)).unwrap_or(0);
         let windows = [market::RATE_WINDOW, market::PART_WINDOW];
         Ok(Balancer {
-            salt: seed.rotate_left(32),
+            // Without a number of its own a node begins anywhere: even enough where there are many.
+            begins: match settings.me {
+                Some(me) => f64::from(me % settings.nodes) / f64::from(settings.nodes),
+                None => uniform(&mut Xoshiro256PlusPlus::seed_from_u64(!seed)),
+            },
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             servers: Vec::new(),
             index: FxHashMap::default(),
--- a/src/policy/tests/market.rs
+++ b/src/policy/tests/market.rs
@@ -191,7 +191,8 @@
     }
     assert!(share(&b, 0, 0) < 0.1, "bookings fill it: {:?}", b.markets[0].shares);
     assert!((share(&b, 1, 0) - 1.0).abs() < 1e-3);
-    assert!((share(&b, 0, 1) - share(&b, 0, 2)).abs() < 0.1);
+    let two = [share(&b, 0, 1), share(&b, 0, 2)];
+    assert!((two[0] - two[1]).abs() < 0.1, "{two:?}");
 }
 
 /// Etichete big-1-small: reports lag by most of a second, and a node with much of the traffic chose the busier
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,6 +7,11 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+/// Uniform in [0, 1).
+pub(crate) fn uniform(rng: &mut Xoshiro256PlusPlus) -> f64 {
+    (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+}
+
 /// A rate that forgets with time.
 pub(crate) struct Rate {
     count: f64,
@@ -49,7 +54,7 @@
 
 pub(crate) struct Server {
     pub id: ServerId,
-    /// Place in this node's own order of servers.
+    /// Place on the ring of servers, the same at every node.
     pub rank: u64,
     pub zone: ZoneId,
     pub kind: KindId,
@@ -92,10 +97,10 @@
 }
 
 impl Server {
-    pub(crate) fn new(entry: &ServerEntry, salt: u64, price: f64, now: Time) -> Self {
+    pub(crate) fn new(entry: &ServerEntry, price: f64, now: Time) -> Self {
         Server {
             id: entry.server,
-            rank: Xoshiro256PlusPlus::seed_from_u64(salt ^ u64::from(entry.server.0)).next_u64(),
+            rank: Xoshiro256PlusPlus::seed_from_u64(entry.name).next_u64(),
             zone: entry.zone,
             kind: entry.kind,
             cell: entry.cell,
@@ -279,8 +284,8 @@
 /// The balancer of one node.
 pub struct Balancer {
     pub(crate) settings: Settings,
-    /// Sets this node's order of servers apart from other nodes'.
-    pub(crate) salt: u64,
+    /// Where on the ring of servers this node begins, as a part of it.
+    pub(crate) begins: f64,
     pub(crate) rng: Xoshiro256PlusPlus,
     pub(crate) servers: Vec<Server>,
     pub(crate) index: FxHashMap<ServerId, usize>,
@@ -326,7 +331,7 @@
             self.servers.iter_mut().for_each(|s| s.state = ServerState::Gone);
         }
         for e in entries {
-            let fresh = Server::new(e, self.salt, self.mean_price, now);
+            let fresh = Server::new(e, self.mean_price, now);
             match self.index.get(&e.server) {
                 None => {
                     self.index.insert(e.server, self.servers.len());
@@ -348,7 +353,10 @@
         self.index = self.servers.iter().enumerate().map(|(i, s)| (s.id, i)).collect();
         self.ready =
             (0..self.servers.len()).filter(|&i| self.servers[i].state == ServerState::Ready).collect();
-        self.ready.sort_by_key(|&i| self.servers[i].rank);
+        self.ready.sort_by_key(|&i| (self.servers[i].rank, self.servers[i].id));
+        let first = (self.begins * self.ready.len() as f64) as usize;
+        let first = first.min(self.ready.len());
+        self.ready.rotate_left(first);
     }
 
     /// Ready servers open to each class, as positions in `ready`, in this node's order.
@@ -435,6 +443,6 @@
 
     /// Uniform in [0, 1).
     pub(crate) fn random(&mut self) -> f64 {
-        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+        uniform(&mut self.rng)
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -33,6 +33,8 @@
     let keyed = |group| Effect::Keyed { group, window: ms(500) };
     Settings {
         nodes: 4,
+        me: None,
+        prices: Prices::default(),
         zone: ZoneId(0),
         zones: 2,
         classes: vec![
@@ -70,6 +72,7 @@
 pub fn entry(server: u32, state: ServerState, started: Option<Time>) -> ServerEntry {
     ServerEntry {
         server: ServerId(server),
+        name: u64::from(server),
         zone: ZoneId((server % 2) as u8),
         kind: KindId((server % 3) as u8),
         cell: CellId((server % 4) as u16),
