--- a/src/policy/aperture.rs
+++ b/src/policy/aperture.rs
@@ -1,9 +1,9 @@
 //! The aperture: with which servers a node deals.
 //!
-//! All nodes see the same ring of servers; each begins at its own part of it and goes round as far as it wants
-//! (Finagle's deterministic aperture), so that every server lies in as many apertures as any other. Servers
-//! that are dear, cold or closed count for less: the aperture then reaches further at once, and draws in by
-//! degrees.
+//! All nodes see the same ring of servers; each begins at its own part of it and goes round as far as it
+//! wants (Finagle's deterministic aperture), so that every server lies in as many apertures as any other.
+//! Servers that are dear, cold or closed count for less: the aperture then reaches further at once, and
+//! draws in by degrees.
 
 use super::estimate::Estimate;
 use crate::interface::Reports;
