--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -47,8 +47,8 @@
         1.0 / (1.0 + (-1.7 * z).exp())
     }
 
-    /// What a request is worth there, as a part of its worth: its chance of being in time, less what its waiting
-    /// takes from those behind it, from 0 to 1.
+    /// What a request is worth there, as a part of its worth: its chance of being in time, less what its
+    /// waiting takes from those behind it, from 0 to 1.
     pub(crate) fn worth(&self, work: f64, within: f64, aim: f64, again: bool) -> f64 {
         let lost = self.failed + self.turned * if again { 1.0 - AGAIN } else { 1.0 };
         let late = Estimate { wait: self.wait + self.surprise, ..*self };
