News: a cold server of which nothing is known is judged by cold ones, not by the fleet

A line for each choice in the node's log (taken out again) showed servers at warmth 0.36 without news (held -1) beside a fleet that held 2.5 on average: probes.rs took them for as crowded as that at a third of the speed, so that nobody asked them or sent there. src/state.rs keeps what cold servers hold apart from what warm ones do.

--- a/crates/site/tests/names.rs
+++ b/crates/site/tests/names.rs
@@ -21,3 +21,26 @@
     assert_eq!(config.names.fields, ["backlog", "other"]);
     assert_eq!(config.fields, [Field::Backlog, Field::Other]);
 }
+
+/// A price says what a site counts, never what a node may: one that makes no sense counts as none.
+#[test]
+fn prices_that_make_no_sense_count_as_none() {
+    let text = |prices: &str| {
+        format!(
+            r#"{{"balancers":3,"me":2,"prices":{prices},"profiles":[{{"promise_ns":1,"deadline_ns":2,"effect":"free","importance":1}}],
+            "registry_mode":"automatic","limits":{{"try_limit":1}},"report":{{"how":"pull"}},
+            "rules":{{"cold_from":0.1,"drain_grace_ns":1,"fall_multiple":3,"overload_for_ns":1,"warm_up_ns":1}}}}"#
+        )
+    };
+    let prices = |prices: &str| {
+        let config =
+            birchswitch_site::parse(text(prices).as_bytes()).unwrap_or_else(|e| panic!("{prices}: {e}"));
+        config.settings.check().unwrap_or_else(|e| panic!("{prices}: {e}"));
+        (config.settings.prices.probe, config.settings.prices.handshake)
+    };
+    assert_eq!(prices(r#"{"probe":0.08,"handshake":0.05,"waste":0.1}"#), (0.08, 0.05));
+    assert_eq!(prices("{}"), (0.0, 0.0));
+    for bad in ["-1", "null", "\"NaN\"", "[]", "true"] {
+        assert_eq!(prices(&format!(r#"{{"probe":{bad},"handshake":{bad}}}"#)), (0.0, 0.0));
+    }
+}
--- a/src/policy/aperture.rs
+++ b/src/policy/aperture.rs
@@ -45,7 +45,7 @@
 fn all_worth_asking(b: &Balancer) -> bool {
     let (work, aims) = (b.mean_work, b.settings.classes.iter().map(|c| c.aim.as_secs_f64()));
     let aim = aims.fold(f64::MAX, f64::min);
-    let usual = b.loads.usual().iter().enumerate();
+    let usual = b.loads[0].usual().iter().enumerate();
     let usual =
         usual.map(|(held, p)| (Estimate::behind(b, held as f64, work).worth(work, aim, aim, false), *p));
     let one = Prospect::new(usual);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -37,6 +37,7 @@
     pub fn new(settings: Settings, seed: u64, now: Time) -> Result<Self, SettingsError> {
         settings.check()?;
         let aims = settings.classes.iter().map(|c| c.aim.as_secs_f64());
+        let shortest = aims.fold(f64::MAX, f64::min);
         let same = |a: &Class, b: &Class| a.zones == b.zones && a.kinds == b.kinds;
         let leader = |c: &Class| settings.classes.iter().position(|other| same(other, c)).unwrap_or(0);
         let windows = [market::RATE_WINDOW, market::PART_WINDOW];
@@ -60,7 +61,7 @@
             choosing: Vec::new(),
             next_timer: 0,
             list_timer: None,
-            latency: (aims.clone().fold(f64::MAX, f64::min) / 2.0).max(1e-3),
+            latency: (shortest / 2.0).max(1e-3),
             probe_latency: 0.003,
             refused: 0.0,
             report_life: market::REPORT_LIFE,
@@ -74,7 +75,7 @@
             further: attempts::RETRY_MOST,
             trust: Default::default(),
             surprise: 0.0,
-            loads: Loads::new(aims.clone().fold(f64::MAX, f64::min)),
+            loads: [Loads::new(shortest), Loads::new(shortest)],
             mean_worth: 0.0,
             tenants: settings.tenants.iter().map(|_| Rate::new(now, admission::TENANT_WINDOW)).collect(),
             settings,
--- a/src/policy/probes.rs
+++ b/src/policy/probes.rs
@@ -108,12 +108,11 @@
         let s = &b.servers[*b.index.get(server)?];
         let worth = estimator(b, now, r, s);
         let worth = |held: f64| worth(held).worth(work, within, aim, again);
-        let age = (now - s.heard).as_secs_f64();
-        let stands = s.held.map_or(0.0, |_| b.loads.stands(age));
-        let usual = b.loads.usual().iter().enumerate();
+        let (loads, stands) = b.news(s, now);
+        let usual = loads.usual().iter().enumerate();
         let usual = usual.map(|(held, p)| (worth(held as f64), p * (1.0 - stands)));
         let prospect = Prospect::new(s.held.map(|held| (worth(held), stands)).into_iter().chain(usual));
-        let fresh = s.held.is_some() && age < FRESH * b.latency;
+        let fresh = s.held.is_some() && (now - s.heard).as_secs_f64() < FRESH * b.latency;
         let askable = *asked == Asked::Not && !fresh;
         Some(Candidate { at, askable, mean: prospect.expected(0.0), worth: prospect })
     });
@@ -176,8 +175,8 @@
     let s = &b.servers[i];
     let estimate = estimator(b, now, r, s);
     let chance = |held: f64| estimate(held).in_time(work, within);
-    let stands = s.held.map_or(0.0, |_| b.loads.stands((now - s.heard).as_secs_f64()));
-    let usual = b.loads.usual().iter().enumerate().map(|(held, p)| p * chance(held as f64)).sum::<f64>();
+    let (loads, stands) = b.news(s, now);
+    let usual = loads.usual().iter().enumerate().map(|(held, p)| p * chance(held as f64)).sum::<f64>();
     s.held.map_or(0.0, chance) * stands + usual * (1.0 - stands)
 }
 
--- a/src/policy/tests/probes.rs
+++ b/src/policy/tests/probes.rs
@@ -103,3 +103,106 @@
     assert_eq!(sent, [ServerId(0), ServerId(1), ServerId(2)], "{actions:?}");
     assert_eq!(probes(&arrive(&mut b, at(3000), 4)), 3, "heard too long ago");
 }
+
+/// A balancer that is told loads only by probes, at this price, with so many servers.
+fn priced(probe: f64, servers: u32) -> Balancer {
+    let prices = Prices { probe, handshake: 0.0 };
+    let settings =
+        Settings { reports: Reports::ByProbe, reports_rate: false, may_probe: true, prices, ..settings() };
+    let mut b = Balancer::new(settings, 5, at(0)).expect("sound settings");
+    b.handle(at(0), list(servers), &mut vec![]);
+    b.mean_work = 0.1;
+    b
+}
+
+/// Plays requests whose probes all find this many held, and returns probes and answers for each.
+fn bought(probe: f64, held: impl Fn(u32) -> f64) -> f64 {
+    let mut b = priced(probe, 20);
+    let (mut probes, mut sent) = (0, 0);
+    for id in 0..200 {
+        let now = at(1 + 100 * id);
+        let (request, class, tenant) = (RequestId(id), ClassId(1), TenantId(0));
+        let work = Some(ms(100));
+        let mut todo = vec![];
+        b.handle(
+            now,
+            Event::Arrival(Arrival { request, class, tenant, remaining: ms(900), work, whole: true }),
+            &mut todo,
+        );
+        while let Some(action) = todo.pop() {
+            match action {
+                Action::Probe { server } => {
+                    probes += 1;
+                    let report = Some(LoadReport { held: Some(held(server.0)), ..report(0.5, 0.0) });
+                    let p = Probed { server, outcome: Outcome::Served, latency: ms(1), report };
+                    b.handle(now, Event::Probed(p), &mut todo);
+                }
+                Action::Send { server, .. } => {
+                    sent += 1;
+                    let Event::Ended(end) = ended(id, 0, server, Outcome::Served, None) else { continue };
+                    // Whoever waits behind others is answered later.
+                    let latency = ms(100 + 100 * held(server.0) as u64);
+                    b.handle(now + latency, Event::Ended(Ended { latency, ..end }), &mut todo);
+                }
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(sent, 200, "every request goes somewhere at a price of {probe}");
+    f64::from(probes) / 200.0
+}
+
+/// Five probes a request, whatever they cost, took two fifths of all that a fleet was worth.
+#[test]
+fn the_dearer_a_probe_the_fewer_are_sent_and_none_must_do() {
+    let busy = |server| if server % 3 == 0 { 0.0 } else { 4.0 };
+    let bought: Vec<f64> = [0.0, 0.002, 0.08, 0.3, 10.0].iter().map(|p| bought(*p, busy)).collect();
+    assert!(bought[0] > 4.0, "{bought:?}");
+    assert!(bought.windows(2).all(|w| w[1] <= w[0]), "{bought:?}");
+    assert!(bought[2] < 0.5 * bought[0] && bought[2] > 0.0, "{bought:?}");
+    assert_eq!(bought[4], 0.0);
+}
+
+/// What pays for a probe is the request's own worth.
+#[test]
+fn a_request_of_more_worth_buys_more() {
+    let b = priced(0.08, 20);
+    let asked: Vec<_> = (0..5).map(|k| (ServerId(k), Asked::Not)).collect();
+    let (class, arrived, ends) = (ClassId(1), at(0), at(900));
+    let buys = |worth| {
+        let (asked, attempts, work) = (asked.clone(), vec![], Some(0.1));
+        let r = Request {
+            class,
+            arrived,
+            ends,
+            work,
+            open: true,
+            begun: false,
+            whole: true,
+            attempts,
+            worth,
+            asked,
+        };
+        worth_asking(&b, at(1), &r).len()
+    };
+    assert_eq!(buys(0.1), 0);
+    assert!(buys(10.0) > buys(1.0), "{} and {}", buys(10.0), buys(1.0));
+}
+
+/// In a release nodes took servers that had just started, of which nothing was known, for as crowded as the rest of
+/// the fleet: nobody asked them and nobody sent there, while a fifth of the requests was refused.
+#[test]
+fn what_is_unknown_is_judged_by_its_like() {
+    let mut b = priced(0.08, 6);
+    let started = at(0);
+    let cold = entry(6, ServerState::Ready, Some(started));
+    b.handle(at(1), Event::List { kind: ListKind::Changes, entries: vec![cold] }, &mut vec![]);
+    (0..400).for_each(|_| b.loads[0].heard(4.0, None));
+    let asked = vec![(ServerId(0), Asked::Not), (ServerId(6), Asked::Not)];
+    let (class, arrived, ends) = (ClassId(1), at(0), at(900));
+    let (attempts, work) = (vec![], Some(0.02));
+    let (open, begun, whole) = (true, false, true);
+    let r = Request { class, arrived, ends, work, open, begun, whole, attempts, worth: 1.0, asked };
+    let found = candidates(&b, at(2), &r);
+    assert!(found[1].mean > found[0].mean, "{} and {}", found[1].mean, found[0].mean);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -342,7 +342,8 @@
     /// How attempts ended at servers that looked idle, at busy ones, and at cold ones.
     pub(crate) trust: [Trust; 3],
     /// What servers hold, and for how long news of that stands.
-    pub(crate) loads: Loads,
+    /// Of warm servers, and of cold ones.
+    pub(crate) loads: [Loads; 2],
     /// Worth of a request, smoothed.
     pub(crate) mean_worth: f64,
     /// Seconds by which answers took longer than reports let expect, at all servers.
@@ -414,6 +415,12 @@
         self.servers[i].connected = held.then_some(now).or(self.servers[i].connected);
     }
 
+    /// What servers like this one hold, and the chance that what was last heard of it still stands.
+    pub(crate) fn news(&self, s: &Server, now: Time) -> (&Loads, f64) {
+        let loads = &self.loads[usize::from(s.warmth(&self.settings.rules, now) < 1.0)];
+        (loads, s.held.map_or(0.0, |_| loads.stands((now - s.heard).as_secs_f64())))
+    }
+
     /// One send less is out.
     pub(crate) fn returned(&mut self, server: ServerId, sent: Time) {
         let Some(&i) = self.index.get(&server) else { return };
@@ -426,11 +433,13 @@
 
     /// A server held so many then; older news than is there already changes nothing.
     pub(crate) fn heard(&mut self, server: usize, then: Time, held: f64) {
+        let cold = self.servers[server].warmth(&self.settings.rules, then) < 1.0;
         let s = &mut self.servers[server];
         if s.held.is_some() && then < s.heard {
             return;
         }
-        self.loads.heard(held, s.held.map(|before| (before, (then - s.heard).as_secs_f64())));
+        self.loads[usize::from(cold)]
+            .heard(held, s.held.map(|before| (before, (then - s.heard).as_secs_f64())));
         let since = s.out.iter().filter(|sent| **sent > then).count() as f64;
         (s.held, s.heard) = (Some(held + since), then);
     }
