--- a/src/policy/aperture.rs
+++ b/src/policy/aperture.rs
@@ -51,3 +51,7 @@
     let many = (1..MANY).fold(one, |many, _| many.or(&one));
     many.or(&one).expected(0.0) - many.expected(0.0) >= b.settings.prices.probe
 }
+
+#[cfg(test)]
+#[path = "tests/aperture.rs"]
+mod tests;
