--- a/crates/figures/src/lib.rs
+++ b/crates/figures/src/lib.rs
@@ -8,6 +8,9 @@
 //! | --- | --- | --- |
 //! | `app_results{service, disposition}` | counter | requests that ended: `succeeded` (served), `declined` (refused), `aborted` (failed) |
 //! | `app_forwards` | counter | attempts whose last byte was handed to a server's connection |
+//! | `app_probes` | counter | probes sent to servers |
+//! | `app_handshakes` | counter | connections to servers that came up |
+//! | `app_lists` | counter | lists of servers, and changes to them, that discovery sent |
 //! | `app_outstanding` | gauge | requests taken and not ended |
 //! | `app_discovered` | gauge | servers on the list |
 //! | `app_ejected` | gauge | listed servers that are kept out |
@@ -43,6 +46,12 @@
     results: Vec<[IntCounter; 3]>,
     /// Attempts written whole to servers.
     pub forwards: IntCounter,
+    /// Probes sent to servers.
+    pub probes: IntCounter,
+    /// Connections to servers that came up.
+    pub handshakes: IntCounter,
+    /// Lists of servers, and changes to them, that discovery sent.
+    pub lists: IntCounter,
     /// Requests taken and not ended.
     pub outstanding: IntGauge,
     /// Servers on the list.
@@ -78,6 +87,9 @@
         Ok(Rc::new(Figures {
             results,
             forwards: counter("forwards", "Attempts written whole to servers.")?,
+            probes: counter("probes", "Probes sent to servers.")?,
+            handshakes: counter("handshakes", "Connections to servers that came up.")?,
+            lists: counter("lists", "Lists of servers, and changes to them, that discovery sent.")?,
             outstanding: gauge("outstanding", "Requests taken and not ended.")?,
             discovered: gauge("discovered", "Servers on the list.")?,
             ejected: gauge("ejected", "Listed servers that are kept out.")?,
@@ -125,6 +137,6 @@
         ] {
             assert!(lines.contains(&line), "{line} is not among {lines:#?}");
         }
-        assert_eq!(lines.len(), 6 + 6, "nothing else is told");
+        assert_eq!(lines.len(), 6 + 9, "nothing else is told");
     }
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -14,7 +14,8 @@
 use birchswitch_engine::{
     Answer, AttemptId, Clearance, Command, Duplicate, Ended, Engine, Incoming, ProbeId,
 };
-use birchswitch_figures::{Disposition, Figures};
+use birchswitch_figures::Disposition;
+pub use birchswitch_figures::Figures;
 use birchswitch_membership::{list::ServerList, Directory, Target};
 use finchvale::{
     Balancer, ClassId, ListKind, LoadReport, Outcome, RequestId, ServerEntry, ServerId, Settings,
@@ -41,6 +42,9 @@
     /// Takes in what became of servers.
     fn learn(&self, targets: &[Target]);
 
+    /// Where to count new connections, told once at the start.
+    fn count(&self, figures: Rc<Figures>);
+
     /// Makes one attempt: gets a connection, asks [`Ticket::clear`] right before the first byte, sends once, and tells
     /// [`Ticket::end`]. What it does after that is its own affair. Dropped when the attempt is given up: its connection
     /// has to go with it.
@@ -128,6 +132,7 @@
         upstream: Rc<U>,
         figures: Rc<Figures>,
     ) -> Result<Rc<Self>, SettingsError> {
+        upstream.count(figures.clone());
         let clock = Clock::new();
         let balancer = Balancer::new(settings.clone(), seed, clock.time(Instant::now()))?;
         let host = Rc::new_cyclic(|me: &Weak<Self>| Host {
@@ -202,6 +207,7 @@
 
     /// Takes in what discovery says.
     pub fn list(&self, list: &ServerList) {
+        self.figures.lists.inc();
         let kind = if list.complete { ListKind::Full } else { ListKind::Changes };
         let first = !self.ready();
         let entries = self.take(list);
@@ -314,6 +320,7 @@
                 }
             }
             Command::Probe { probe, server } => {
+                self.figures.probes.inc();
                 let ticket = ProbeTicket { host: self.me.clone(), probe };
                 let task = spawn_local(self.upstream.clone().probe(server, ticket));
                 self.probes.borrow_mut().insert(probe, task.abort_handle());
--- a/crates/host/src/pool.rs
+++ b/crates/host/src/pool.rs
@@ -1,11 +1,12 @@
 //! Connections to servers, for any protocol: as many as the process may hold, kept while idle, and of no use once their server
 //! restarted, moved, drains or is gone.
 
+use birchswitch_figures::Figures;
 use birchswitch_membership::Target;
 use finchvale::{Outcome, ServerId, ServerState};
 use rustc_hash::FxHashMap;
 use socket2::SockRef;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -83,12 +84,19 @@
     limits: Limits,
     slots: Arc<Semaphore>,
     servers: RefCell<FxHashMap<ServerId, Rc<Server<C>>>>,
+    figures: OnceCell<Rc<Figures>>,
 }
 
 impl<C: Pooled> Pool<C> {
     /// Starts with no servers.
     pub fn new(limits: Limits) -> Self {
-        Pool { slots: Arc::new(Semaphore::new(limits.connections)), limits, servers: RefCell::default() }
+        let slots = Arc::new(Semaphore::new(limits.connections));
+        Pool { slots, limits, servers: RefCell::default(), figures: OnceCell::new() }
+    }
+
+    /// Counts connections there from now on; only the first word on it holds.
+    pub fn count(&self, figures: Rc<Figures>) {
+        let _ = self.figures.set(figures);
     }
 
     /// The server with this id, if it is listed.
@@ -150,6 +158,7 @@
                 Ok(Err(error)) if no_descriptors(&error) => return Err(Outcome::NotSent),
                 _ => return Err(Outcome::Unreachable),
             };
+        self.figures.get().iter().for_each(|f| f.handshakes.inc());
         // What answers at the address that it had is another's by now, or gone.
         if generation != server.generation.get() {
             return Err(Outcome::NotSent);
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -4,7 +4,7 @@
 use crate::gate::{self, Gate, Guard, Head, Next, Problem};
 use birchswitch_engine::{Clearance, Ended};
 use birchswitch_host::pool::{self, quiet, Fresh, Pool, Pooled, Server};
-use birchswitch_host::{ProbeTicket, Ticket, Upstream};
+use birchswitch_host::{Figures, ProbeTicket, Ticket, Upstream};
 use birchswitch_membership::Target;
 use birchswitch_site::{Field, Names};
 use finchvale::{LoadReport, Outcome, ServerId};
@@ -188,6 +188,10 @@
         self.pool.learn(targets);
     }
 
+    fn count(&self, figures: Rc<Figures>) {
+        self.pool.count(figures);
+    }
+
     async fn attempt(self: Rc<Self>, server: ServerId, request: Rc<Request<Payload>>, ticket: Ticket<Self>) {
         let Some(server) = self.pool.get(server) else { return ticket.end(Ended::bare(Outcome::NotSent)) };
         let connection = match self.checkout(&server).await {
--- a/crates/thrift-proxy/src/upstream.rs
+++ b/crates/thrift-proxy/src/upstream.rs
@@ -4,7 +4,7 @@
 use crate::settings::Compiled;
 use birchswitch_engine::{Clearance, Ended};
 use birchswitch_host::pool::{quiet, Fresh, Limits, Pool, Pooled, Server};
-use birchswitch_host::{ProbeTicket, Ticket, Upstream};
+use birchswitch_host::{Figures, ProbeTicket, Ticket, Upstream};
 use birchswitch_membership::Target;
 use birchswitch_thrift::walk::{self, Header, Paths, Value};
 use birchswitch_thrift::write::{self, Writer};
@@ -186,6 +186,10 @@
         self.pool.learn(targets);
     }
 
+    fn count(&self, figures: Rc<Figures>) {
+        self.pool.count(figures);
+    }
+
     async fn attempt(self: Rc<Self>, server: ServerId, call: Rc<Call>, ticket: Ticket<Self>) {
         let Some(server) = self.pool.get(server) else { return ticket.end(Ended::bare(Outcome::NotSent)) };
         let mut connection = match self.checkout(&server).await {
--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -47,6 +47,10 @@
     has(&figures, "app_outstanding 1");
     has(&figures, "app_forwards 2");
     has(&figures, "app_discovered 1");
+    // The first connection was closed by its server. Load comes with answers here: nobody is asked for it.
+    has(&figures, "app_handshakes 2");
+    has(&figures, "app_lists 1");
+    has(&figures, "app_probes 0");
     assert_eq!(figures.lines().last(), Some("EOT"));
     wire.answer("200 OK", "", "").await;
     assert_eq!(client.read().await.expect("an answer").status(), 200);
