Laboratory: the world in parts: hall, agenda, clients, nodes, servers, registry, faults

Servers and what may be asked of them are in hall.rs, the queue in agenda.rs, and the world's matters in files of their own.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,8 +11,10 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod agenda;
 pub mod book;
 pub mod chance;
+mod hall;
 pub mod model;
 pub mod policy;
 pub mod scenario;
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -16,7 +16,7 @@
 //!   refuses what nobody can do in time.
 
 use crate::chance::Chance;
-use crate::world::Hall;
+use crate::hall::Hall;
 use birchswitch_engine::Decide;
 use finchvale::{
     Action, Arrival, Balancer, Effect, Event, ListKind, Outcome, RequestId, ServerEntry, ServerId,
--- /dev/null
+++ b/crates/lab/src/world/mod.rs
@@ -0,0 +1,266 @@
+//! A run of a scenario: one queue of events in virtual time, real engines for nodes, models for servers.
+
+mod clients;
+mod faults;
+mod nodes;
+mod registry;
+mod servers;
+
+use crate::agenda::{Agenda, Happening};
+use crate::book::{Book, Cause, Second};
+use crate::chance::Chance;
+use crate::hall::{at, Hall, Machine, ORIGIN};
+use crate::model::{Job, Model, Progress};
+use crate::policy::{Peer, Together};
+use crate::scenario::{seconds, Scenario, Size};
+use birchswitch_engine::{Decide, Ended, Engine};
+use finchvale::{ListKind, Outcome, RequestId, ServerEntry, ServerId, ServerState, SettingsError, Time};
+use rustc_hash::FxHashMap;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The node answers so much earlier than its client's patience ends, for the way back.
+const MARGIN: Duration = Duration::from_millis(5);
+
+struct Node {
+    engine: Engine<Box<dyn Decide>, usize, ()>,
+    zone: u8,
+    wake: Option<Time>,
+    requests: FxHashMap<RequestId, usize>,
+    /// Servers that it was told to send nothing new, and when.
+    told: FxHashMap<ServerId, Time>,
+}
+
+/// A client's order, with all its tries.
+struct Order {
+    at: Time,
+    class: u8,
+    tenant: u16,
+    node: usize,
+    work: f64,
+    worth: f64,
+    tries: u32,
+    /// When and in which cell work on it began.
+    begun: Vec<u16>,
+    /// When a server took it first.
+    taken: Option<Time>,
+    refused: bool,
+    ended: Option<Result<(), Cause>>,
+    broken: bool,
+}
+
+struct Try {
+    order: usize,
+    at: Time,
+    ends: Time,
+    answers: u32,
+    /// Its latest attempt: server, when it was sent, and the work that it really is.
+    sent: Option<(usize, Time, f64)>,
+    attempts: u32,
+    outcome: Option<Outcome>,
+}
+
+/// See the module's words.
+pub struct World {
+    scenario: Scenario,
+    size: Size,
+    now: Time,
+    ends: Time,
+    agenda: Agenda,
+    hall: Rc<RefCell<Hall>>,
+    nodes: Vec<Node>,
+    orders: Vec<Order>,
+    tries: Vec<Try>,
+    chance: Chance,
+    clients: Chance,
+    seed: u64,
+    next_job: Job,
+    next_cell: u16,
+    progress: Vec<Progress>,
+    /// Factors in force: on all rates, on the second tenant's, on the first node's; part and factor of the heavy.
+    rate: f64,
+    tenant: f64,
+    loud: f64,
+    heavy: (f64, f64),
+    /// Added to the age of all reports.
+    late: f64,
+    /// The registry keeps its words to itself.
+    silent: bool,
+    held_back: Vec<ServerEntry>,
+    /// Which servers each fault has befallen.
+    struck: Vec<Vec<usize>>,
+    book: Book,
+}
+
+/// Plays a scenario to its end and says what came of it.
+pub fn run(scenario: &Scenario, size: Size, seed: u64, peer: Peer) -> Result<Book, SettingsError> {
+    let mut world = World::new(scenario, size, seed, peer)?;
+    while world.step() {}
+    Ok(world.close())
+}
+
+impl World {
+    /// A fleet that is warm, and nodes that hold its list and no history.
+    pub fn new(scenario: &Scenario, size: Size, seed: u64, peer: Peer) -> Result<Self, SettingsError> {
+        let mut chance = Chance::new(seed, 1);
+        let settings = scenario.settings(size, 0);
+        let halls = scenario.network.halls;
+        let mut machines: Vec<Machine> = Vec::new();
+        let cv = scenario.servers.speed_cv;
+        for i in 0..size.servers {
+            let speed = chance.lognormal(1.0, cv);
+            let zone = (i % u32::from(halls)) as u8;
+            // Cells lie inside a hall.
+            let cell = (i / u32::from(halls) / u32::from(scenario.servers.cell)) as u16 * u16::from(halls)
+                + u16::from(zone);
+            let model = Model::new(scenario.capacity(speed), Duration::ZERO, false);
+            machines.push(Machine::new(model, speed, zone, cell, None));
+        }
+        let next_cell = machines.iter().map(|m| m.cell + 1).max().unwrap_or(0);
+        let hall = Rc::new(RefCell::new(Hall { machines, rules: settings.rules.clone() }));
+        let together = Rc::new(RefCell::new(Together::default()));
+        let now = Time(ORIGIN);
+        let mut nodes = Vec::new();
+        for n in 0..size.nodes {
+            let zone = (n % u32::from(halls)) as u8;
+            let settings = scenario.settings(size, n);
+            let decide = peer.decide(
+                settings.clone(),
+                Chance::new(seed, 1000 + u64::from(n)).bits(),
+                now,
+                &hall,
+                &together,
+            )?;
+            let (requests, told) = (FxHashMap::default(), FxHashMap::default());
+            nodes.push(Node { engine: Engine::new(decide, &settings), zone, wake: None, requests, told });
+        }
+        let mut world = World {
+            scenario: scenario.clone(),
+            size,
+            now,
+            ends: now + seconds(scenario.seconds),
+            agenda: Agenda::default(),
+            hall,
+            nodes,
+            orders: Vec::new(),
+            tries: Vec::new(),
+            chance,
+            clients: Chance::new(seed, 2),
+            seed,
+            next_job: 0,
+            next_cell,
+            progress: Vec::new(),
+            rate: 1.0,
+            tenant: 1.0,
+            loud: 1.0,
+            heavy: (0.0, 1.0),
+            late: 0.0,
+            silent: false,
+            held_back: Vec::new(),
+            struck: vec![Vec::new(); scenario.fault.len()],
+            book: Book {
+                seconds: vec![Second::default(); scenario.seconds.ceil() as usize],
+                ..Book::default()
+            },
+        };
+        for (k, fault) in scenario.fault.iter().enumerate() {
+            world.agenda.put(at(fault.at), Happening::Begin(k));
+            if fault.until.is_finite() {
+                world.agenda.put(at(fault.until), Happening::End(k));
+            }
+        }
+        let entries: Vec<ServerEntry> = (0..size.servers as usize).map(|s| world.entry(s)).collect();
+        for node in 0..world.nodes.len() {
+            world.nodes[node].engine.list(now, ListKind::Full, entries.clone());
+            world.pump(node);
+        }
+        world.next_arrival();
+        Ok(world)
+    }
+
+    /// Takes the next event; false once all is over.
+    pub fn step(&mut self) -> bool {
+        let Some((now, what)) = self.agenda.next() else { return false };
+        // What lasts beyond the end is of no more interest than the answers owed.
+        let grace = seconds(self.scenario.deadline) + Duration::from_secs(2);
+        if now > self.ends + grace {
+            return false;
+        }
+        self.now = now;
+        self.happen(what);
+        true
+    }
+
+    fn happen(&mut self, what: Happening) {
+        match what {
+            Happening::Arrival => self.arrival(),
+            Happening::Retry(order) => self.try_once(order),
+            Happening::Wake(node) => {
+                if self.nodes[node].wake == Some(self.now) {
+                    self.nodes[node].wake = None;
+                    self.nodes[node].engine.wake(self.now);
+                    self.pump(node);
+                }
+            }
+            Happening::Take { node, attempt, server, of, work } => self.take(node, attempt, server, of, work),
+            Happening::Told { node, attempt, outcome, report } => {
+                let answer = (outcome == Outcome::Served).then_some(());
+                self.nodes[node].engine.ended(self.now, attempt, Ended { outcome, report, answer });
+                self.pump(node);
+            }
+            Happening::Probe { node, probe, server } => self.probe(node, probe, server),
+            Happening::Probed { node, probe, outcome, report } => {
+                self.nodes[node].engine.probed(self.now, probe, outcome, report);
+                self.pump(node);
+            }
+            Happening::Serve(server) => {
+                if self.hall.borrow().machines[server].wake == Some(self.now) {
+                    self.with(server, |m, now, out| m.model.advance(now, out));
+                }
+            }
+            Happening::Noticed(entries) => self.noticed(entries),
+            Happening::List { node, entries } => {
+                for e in entries.iter() {
+                    let told = &mut self.nodes[node].told;
+                    match e.state {
+                        ServerState::Ready => drop(told.remove(&e.server)),
+                        _ => drop(told.entry(e.server).or_insert(self.now)),
+                    }
+                }
+                self.nodes[node].engine.list(self.now, ListKind::Changes, entries.to_vec());
+                self.pump(node);
+            }
+            Happening::Begin(fault) => self.begin(fault),
+            Happening::End(fault) => self.end(fault),
+            Happening::Again { fault, server } => self.again(fault, server),
+            Happening::Batch { fault, left } => self.batch(fault, left),
+            Happening::Kill { server, silent } => self.kill(server, silent),
+            Happening::Start(servers) => self.start(servers),
+        }
+    }
+    fn close(mut self) -> Book {
+        for t in &self.tries {
+            self.book.broken.answers += u64::from(t.answers == 0);
+        }
+        for k in 0..self.orders.len() {
+            let o = &self.orders[k];
+            let worth = o.worth;
+            match o.ended {
+                Some(Ok(())) => {
+                    self.book.in_time += worth;
+                    self.second(k).in_time += worth;
+                }
+                ended => {
+                    let cause = ended.and_then(Result::err).unwrap_or(Cause::GivenUp);
+                    *self.book.lost.entry(cause).or_default() += worth;
+                    self.book.refused += u64::from(o.refused);
+                    let served = !o.refused && !matches!(cause, Cause::ServerFailed | Cause::GivenUp);
+                    self.book.late += u64::from(served);
+                    self.book.failed += u64::from(!o.refused && !served);
+                }
+            }
+        }
+        self.book
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world/servers.rs
@@ -0,0 +1,180 @@
+//! Servers: what becomes of requests and probes there, and what they say of their load.
+
+use super::World;
+use crate::agenda::Happening;
+use crate::hall::{since_origin, Life, Machine, ORIGIN};
+use crate::model::{Admission, Progress};
+use crate::scenario::seconds;
+use birchswitch_engine::{AttemptId, ProbeId};
+use finchvale::{LoadReport, Outcome, Time};
+use std::time::Duration;
+
+/// Shortest time over which a server's busy part is told, in seconds.
+const BUSY_OVER: f64 = 0.1;
+
+impl World {
+    /// Does something with a server and tells what came of it.
+    pub(super) fn with<T>(
+        &mut self,
+        server: usize,
+        call: impl FnOnce(&mut Machine, Duration, &mut Vec<Progress>) -> T,
+    ) -> T {
+        let now = since_origin(self.now);
+        let mut out = std::mem::take(&mut self.progress);
+        let hall = self.hall.clone();
+        let mut hall = hall.borrow_mut();
+        let m = &mut hall.machines[server];
+        let had_fallen = m.model.fallen();
+        let value = call(m, now, &mut out);
+        if m.model.fallen() && !had_fallen {
+            self.book.broken.cold += 1;
+        }
+        self.book.borne = self.book.borne.max(m.model.most_borne());
+        let next = m.model.next().map(|d| Time(ORIGIN) + d);
+        if let Some(next) = next.filter(|n| m.wake.is_none_or(|w| *n < w || w < self.now)) {
+            m.wake = Some(next.max(self.now));
+            self.agenda.put(next.max(self.now), Happening::Serve(server));
+        } else if m.wake.is_some_and(|w| w <= self.now) {
+            m.wake = next;
+            if let Some(next) = next {
+                self.agenda.put(next, Happening::Serve(server));
+            }
+        }
+        let cell = m.cell;
+        let mut done = Vec::new();
+        for progress in out.drain(..) {
+            match progress {
+                Progress::Begun(job) => {
+                    if let Some((_, _, of)) = m.jobs.get(&job) {
+                        let o = &mut self.orders[self.tries[*of].order];
+                        let again = match o.class {
+                            0 => !o.begun.is_empty() || o.refused,
+                            _ => o.begun.iter().any(|c| *c != cell),
+                        };
+                        if again && !std::mem::replace(&mut o.broken, true) {
+                            self.book.broken.effects += 1;
+                        }
+                        o.begun.push(cell);
+                    }
+                }
+                Progress::Done(job) => done.extend(m.jobs.remove(&job)),
+            }
+        }
+        drop(hall);
+        self.progress = out;
+        for whose in done {
+            self.tell(server, whose, Outcome::Served);
+        }
+        value
+    }
+
+    pub(super) fn take(&mut self, node: usize, attempt: AttemptId, server: usize, of: usize, work: f64) {
+        let whose = (node, attempt, of);
+        let (life, refuses, fails) = {
+            let m = &self.hall.borrow().machines[server];
+            (m.life, m.refuses, m.fails)
+        };
+        match life {
+            Life::Dead { silent: true } => return,
+            Life::Dead { silent: false } => return self.tell(server, whose, Outcome::Unreachable),
+            _ if refuses => return self.tell(server, whose, Outcome::TurnedAway),
+            _ if fails => return self.tell(server, whose, Outcome::Error),
+            _ => {}
+        }
+        let job = self.next_job;
+        self.next_job += 1;
+        let admission = self.with(server, |m, now, out| {
+            m.jobs.insert(job, whose);
+            let admission = m.model.offer(now, job, work, out);
+            if admission == Admission::TurnedAway {
+                m.jobs.remove(&job);
+            }
+            admission
+        });
+        match admission {
+            Admission::TurnedAway => self.tell(server, whose, Outcome::TurnedAway),
+            Admission::Taken => {
+                let window = Duration::from_secs(2);
+                let o = &mut self.orders[self.tries[of].order];
+                let first = *o.taken.get_or_insert(self.now);
+                // A key is remembered for so long; a repeat after that runs again.
+                if o.class != 0 && self.now > first + window && !std::mem::replace(&mut o.broken, true) {
+                    self.book.broken.effects += 1;
+                }
+            }
+        }
+        self.remember(server);
+    }
+
+    /// Keeps what a server would say of itself, while reports are late.
+    pub(super) fn remember(&mut self, server: usize) {
+        if self.late + self.scenario.reports.delay > 0.0 {
+            let report = self.measure(server);
+            let mut hall = self.hall.borrow_mut();
+            let looks = &mut hall.machines[server].looks;
+            looks.push_back((self.now, report));
+            let old = self.now - Time(ORIGIN);
+            let oldest = old.saturating_sub(seconds(self.late + self.scenario.reports.delay));
+            while looks.len() > 1 && since_origin(looks[1].0) <= oldest {
+                looks.pop_front();
+            }
+        }
+    }
+
+    pub(super) fn measure(&mut self, server: usize) -> LoadReport {
+        let now = self.now;
+        self.with(server, |m, at, out| {
+            if (now - m.busy.1).as_secs_f64() >= BUSY_OVER {
+                m.busy = (m.model.load(at, out).busy, now);
+            }
+            m.model.advance(at, out);
+            let held = if m.refuses || m.fails { 0.0 } else { m.model.held() as f64 * m.lie };
+            let busy = if m.refuses || m.fails { 0.0 } else { m.busy.0 * m.lie };
+            LoadReport { busy: Some(busy), held: Some(held), ..LoadReport::default() }
+        })
+    }
+
+    /// A server's word on its load, as old as words are.
+    pub(super) fn look(&mut self, server: usize) -> LoadReport {
+        let period = seconds(self.scenario.reports.period);
+        let age = seconds(self.scenario.reports.delay + self.late);
+        let (stuck, last) = {
+            let m = &self.hall.borrow().machines[server];
+            (m.stuck, m.looks.back().copied())
+        };
+        if let Some((_, report)) = last.filter(|l| stuck || age.is_zero() && self.now < l.0 + period) {
+            return report;
+        }
+        let report = self.measure(server);
+        let told = Time(self.now.0.saturating_sub(age.as_nanos() as u64));
+        let mut hall = self.hall.borrow_mut();
+        let looks = &mut hall.machines[server].looks;
+        if age.is_zero() {
+            looks.clear();
+        }
+        looks.push_back((self.now, report));
+        looks.iter().rev().find(|l| l.0 <= told).or(looks.front()).map_or(report, |l| l.1)
+    }
+
+    pub(super) fn probe(&mut self, node: usize, probe: ProbeId, server: usize) {
+        let cost = self.scenario.reports.probe_work;
+        let (life, frozen) = {
+            let m = &self.hall.borrow().machines[server];
+            (m.life, m.model.frozen(since_origin(self.now)).then(|| m.model.frozen_until()))
+        };
+        let (outcome, report) = match life {
+            Life::Dead { silent: true } => return,
+            Life::Dead { silent: false } => (Outcome::Unreachable, None),
+            _ => {
+                if let Some(until) = frozen {
+                    let until = Time(ORIGIN) + until;
+                    return self.agenda.put(until.max(self.now), Happening::Probe { node, probe, server });
+                }
+                self.with(server, |m, now, out| m.model.probe(now, cost, out));
+                (Outcome::Served, Some(self.look(server)))
+            }
+        };
+        let way = self.way(self.nodes[node].zone, server);
+        self.agenda.put(self.now + way, Happening::Probed { node, probe, outcome, report });
+    }
+}
