Laboratory: whole fleets at their prices: uneven, killed and restarted nodes, halls cut off, lost answers

Nodes of tens of requests a second were not played (250 nodes with one or two each), nor what asking and connecting costs. Six scenarios named fleet-, for 300 nodes and 200 servers (--size whole), charge probes, new connections and crossings as the site does; new faults restart nodes, cut a hall off and lose or reset answers; a deterministic aperture with the better of two joins the peers.

--- a/crates/lab/src/agenda.rs
+++ b/crates/lab/src/agenda.rs
@@ -26,6 +26,7 @@
     Told {
         node: usize,
         attempt: AttemptId,
+        server: usize,
         outcome: Outcome,
         report: Option<LoadReport>,
     },
@@ -39,6 +40,7 @@
     Probed {
         node: usize,
         probe: ProbeId,
+        server: usize,
         outcome: Outcome,
         report: Option<LoadReport>,
     },
@@ -63,6 +65,13 @@
         fault: usize,
         left: VecDeque<usize>,
     },
+    /// The next nodes are killed.
+    Restart {
+        fault: usize,
+        left: VecDeque<usize>,
+    },
+    /// A node that was killed is back.
+    Back(usize),
     Kill {
         server: usize,
         silent: bool,
--- a/crates/lab/src/book.rs
+++ b/crates/lab/src/book.rs
@@ -1,5 +1,6 @@
 //! What came of a run: worth answered in time, what became of the rest, and rules broken.
 
+use crate::scenario::PricesOf;
 use std::collections::BTreeMap;
 
 /// Why the worth of a request was lost, by what was true when it was lost and not by what its node knew.
@@ -27,13 +28,15 @@
     Queued,
     /// Its server answered with an error, broke the connection, or was gone.
     ServerFailed,
+    /// Its node was killed, or was not there.
+    NodeGone,
     /// Given up for another reason.
     GivenUp,
 }
 
 impl Cause {
     /// All of them.
-    pub const ALL: [Cause; 12] = [
+    pub const ALL: [Cause; 13] = [
         Cause::Hopeless,
         Cause::RefusedAtDoor,
         Cause::RefusedAfterProbes,
@@ -45,6 +48,7 @@
         Cause::Underestimated,
         Cause::Queued,
         Cause::ServerFailed,
+        Cause::NodeGone,
         Cause::GivenUp,
     ];
 
@@ -62,6 +66,7 @@
             Cause::Underestimated => "longer than its hint",
             Cause::Queued => "behind others",
             Cause::ServerFailed => "server failed",
+            Cause::NodeGone => "node gone",
             Cause::GivenUp => "given up otherwise",
         }
     }
@@ -123,6 +128,10 @@
     pub crossed: u64,
     /// Probes.
     pub probes: u64,
+    /// New connections.
+    pub handshakes: u64,
+    /// Lists and changes to them that reached a node.
+    pub lists: u64,
     /// Events given to whatever decides.
     pub events: u64,
     /// Seconds of core time that served nobody in time, and that all had.
@@ -157,6 +166,25 @@
         }
     }
 
+    /// What the site takes off for so much of something.
+    fn price(&self, count: u64, price: f64) -> f64 {
+        count as f64 / self.firsts.max(1) as f64 * price
+    }
+
+    /// What is taken off for probes, new connections, and attempts that crossed halls.
+    pub fn prices(&self, prices: &PricesOf) -> [f64; 3] {
+        [
+            self.price(self.probes, prices.probe),
+            self.price(self.handshakes, prices.handshake),
+            self.price(self.crossed, prices.cross),
+        ]
+    }
+
+    /// Worth answered in time less all prices.
+    pub fn net(&self, prices: &PricesOf) -> f64 {
+        self.kept() - self.prices(prices).iter().sum::<f64>()
+    }
+
     /// Losses as parts of the worth asked for, the largest first.
     pub fn losses(&self) -> Vec<(Cause, f64)> {
         let mut losses: Vec<_> = self.lost.iter().map(|(c, l)| (*c, l / self.offered.max(1e-12))).collect();
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,7 +4,7 @@
 
 use birchswitch_lab::book::{Book, Cause};
 use birchswitch_lab::policy::Peer;
-use birchswitch_lab::scenario::{Scenario, ScenarioError, Size, STANDARD};
+use birchswitch_lab::scenario::{PricesOf, Scenario, ScenarioError, Size, STANDARD};
 use birchswitch_lab::world;
 use clap::{Args, Parser, Subcommand};
 use std::error::Error;
@@ -28,7 +28,7 @@
     Run(Run),
     /// Where the worth went: each scenario's losses by their cause, the largest first.
     Account(Many),
-    /// Every scenario with every peer: worth in time, and rules broken.
+    /// Every scenario with every peer: worth in time less prices, and rules broken.
     Table(Many),
 }
 
@@ -42,7 +42,7 @@
     /// The seed
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// `today`, `full`, or nodes x servers, such as `40x12`
+    /// `today`, `full`, `whole` (300x200), or nodes x servers, such as `40x12`
     #[arg(long, default_value = "today", value_parser = size)]
     size: Size,
 }
@@ -57,7 +57,7 @@
     /// Seeds from 1 on, whose means are told
     #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=1000))]
     seeds: u64,
-    /// `today`, `full`, or nodes x servers, such as `40x12`
+    /// `today`, `full`, `whole` (300x200), or nodes x servers, such as `40x12`
     #[arg(long, default_value = "today", value_parser = size)]
     size: Size,
 }
@@ -68,10 +68,12 @@
 }
 
 fn size(text: &str) -> Result<Size, String> {
-    let wanted = || "wanted `today`, `full`, or nodes x servers, such as `40x12`".to_owned();
+    let wanted =
+        || "wanted `today`, `full`, `whole` (300x200), or nodes x servers, such as `40x12`".to_owned();
     match text {
         "today" => Ok(Size::TODAY),
         "full" => Ok(Size::FULL),
+        "whole" => Ok(Size::WHOLE),
         other => {
             let (nodes, servers) = other.split_once('x').ok_or_else(wanted)?;
             let number = |t: &str| t.parse().ok().filter(|n| (1..=10_000).contains(n)).ok_or_else(wanted);
@@ -127,6 +129,16 @@
         per(book.crossed),
         per(book.probes)
     );
+    let of = |n: u64| n as f64 / book.firsts.max(1) as f64;
+    let [probes, handshakes, cross] = book.prices(&scenario.prices);
+    println!(
+        "a first try: {:.3} probes, {:.3} new connections, {:.4} lists; they cost {probes:.4}, {handshakes:.4} and, with {cross:.4} \
+         for crossing halls, leave {:.4}",
+        of(book.probes),
+        of(book.handshakes),
+        of(book.lists),
+        book.net(&scenario.prices)
+    );
     for (cause, part) in book.losses() {
         println!("  {:<22} {:6.2}%", cause.name(), 100.0 * part);
     }
@@ -143,8 +155,8 @@
     Ok(())
 }
 
-/// A scenario's name, and each peer's books.
-type Row = (String, Vec<Vec<Book>>);
+/// A scenario's name, its prices, and each peer's books.
+type Row = (String, PricesOf, Vec<Vec<Book>>);
 
 /// Plays all of it on all cores; results in the order of scenarios, peers, seeds.
 fn play(many: &Many, peers: &[Peer]) -> Result<Vec<Row>, Box<dyn Error>> {
@@ -174,13 +186,13 @@
     });
     let mut books = books.into_inner()?.into_iter();
     let mut all = Vec::new();
-    for name in names {
+    for (name, scenario) in names.into_iter().zip(&scenarios) {
         let mut rows = Vec::new();
         for _ in peers {
             let row: Result<Vec<Book>, _> = books.by_ref().take(seeds).flatten().collect();
             rows.push(row?);
         }
-        all.push((name, rows));
+        all.push((name, scenario.prices.clone(), rows));
     }
     Ok(all)
 }
@@ -191,7 +203,7 @@
 
 fn account(many: &Many) -> Result<(), Box<dyn Error>> {
     let peers = if many.peer.is_empty() { vec![Peer::Own] } else { many.peer.clone() };
-    for (name, rows) in play(many, &peers)? {
+    for (name, prices, rows) in play(many, &peers)? {
         for (peer, books) in peers.iter().zip(rows) {
             let mut losses: Vec<(Cause, f64)> = Cause::ALL
                 .into_iter()
@@ -204,9 +216,10 @@
                 .map(|(c, l)| format!("{} {:.1}", c.name(), 100.0 * l))
                 .collect();
             println!(
-                "{name:<12} {:<10} kept {:5.1}  borne {:.2}  lost: {}",
+                "{name:<12} {:<10} kept {:5.1}  after prices {:5.1}  borne {:.2}  lost: {}",
                 peer.name(),
                 100.0 * mean(&books, Book::kept),
+                100.0 * mean(&books, |b| b.net(&prices)),
                 books.iter().map(|b| b.borne).fold(0.0, f64::max),
                 largest.join("; ")
             );
@@ -220,20 +233,24 @@
     println!("| scenario | {} |", peers.iter().map(|p| p.name()).collect::<Vec<_>>().join(" | "));
     println!("| --- |{}", " ---: |".repeat(peers.len()));
     let all = play(many, &peers)?;
-    let cell = |books: &Vec<Book>| {
+    let cell = |books: &Vec<Book>, prices: &PricesOf| {
         let broken: u64 = books.iter().map(|b| b.broken.total()).sum();
-        let kept = 100.0 * mean(books, Book::kept);
+        let kept = 100.0 * mean(books, |b| b.net(prices));
         if broken > 0 {
             format!("{kept:.1} ({broken})")
         } else {
             format!("{kept:.1}")
         }
     };
-    for (name, rows) in &all {
-        println!("| {name} | {} |", rows.iter().map(cell).collect::<Vec<_>>().join(" | "));
+    for (name, prices, rows) in &all {
+        println!(
+            "| {name} | {} |",
+            rows.iter().map(|books| cell(books, prices)).collect::<Vec<_>>().join(" | ")
+        );
     }
-    let of =
-        |k: usize| all.iter().map(|(_, rows)| mean(&rows[k], Book::kept)).sum::<f64>() / all.len() as f64;
+    let of = |k: usize| {
+        all.iter().map(|(_, prices, rows)| mean(&rows[k], |b| b.net(prices))).sum::<f64>() / all.len() as f64
+    };
     let means: Vec<String> = (0..peers.len()).map(|k| format!("{:.1}", 100.0 * of(k))).collect();
     println!("| mean | {} |", means.join(" | "));
     Ok(())
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -9,6 +9,8 @@
 //!   two choices with peak EWMA"; decay 10 s, its default).
 //! - [`Peer::Subset`]: weighted round robin over a subset of [`SUBSET`] servers, weights by served answers over
 //!   latency (after "Load Balancing in the Datacenter", Beyer et al., Site Reliability Engineering, chapter 20).
+//! - [`Peer::Aperture`]: the fewest own attempts out of two drawn from the [`APERTURE`] servers that follow the node's
+//!   place on a ring that all nodes share (Finagle's deterministic aperture; its least size).
 //! - [`Peer::Bounded`]: an oracle with no more than the reports, shared by all nodes: it keeps what all nodes have sent
 //!   and heard in one place and sends each request where the least is in hand, knows no server's speed or freeze, and
 //!   refuses what that bound says is late. What it reaches no node can be blamed for missing.
@@ -29,6 +31,8 @@
 
 /// Servers to which a subset balancer of a node keeps.
 pub const SUBSET: usize = 20;
+/// Servers in a deterministic aperture.
+pub const APERTURE: usize = 12;
 /// What an oracle allows a request to be late by its hint, as a part of its work: where nobody waits, and where all do.
 const ORACLE_SLACK: [f64; 2] = [0.33, -0.8];
 /// Seconds over which the latency of a peak EWMA is forgotten.
@@ -48,6 +52,8 @@
     /// See the module's words.
     Subset,
     /// See the module's words.
+    Aperture,
+    /// See the module's words.
     Bounded,
     /// See the module's words.
     Oracle,
@@ -55,12 +61,13 @@
 
 impl Peer {
     /// All of them.
-    pub const ALL: [Peer; 7] = [
+    pub const ALL: [Peer; 8] = [
         Peer::Own,
         Peer::Random,
         Peer::LeastOutstanding,
         Peer::PeakEwma,
         Peer::Subset,
+        Peer::Aperture,
         Peer::Bounded,
         Peer::Oracle,
     ];
@@ -73,6 +80,7 @@
             Peer::LeastOutstanding => "least-out",
             Peer::PeakEwma => "peak-ewma",
             Peer::Subset => "subset",
+            Peer::Aperture => "aperture",
             Peer::Bounded => "bounded",
             Peer::Oracle => "oracle",
         }
@@ -100,6 +108,10 @@
             Peer::LeastOutstanding => Box::new(LeastOutstanding::default()),
             Peer::PeakEwma => Box::new(PeakEwma::default()),
             Peer::Subset => Box::new(Subset { rank: seed, known: FxHashMap::default() }),
+            Peer::Aperture => Box::new(Aperture {
+                begins: f64::from(settings.me.unwrap_or(0)) / f64::from(settings.nodes),
+                out: LeastOutstanding::default(),
+            }),
             Peer::Bounded => Box::new(Bounded { together: together.clone(), hall: hall.clone() }),
             Peer::Oracle => Box::new(Oracle { hall: hall.clone() }),
         };
@@ -329,6 +341,33 @@
     }
 }
 
+struct Aperture {
+    /// The node's place on the ring.
+    begins: f64,
+    out: LeastOutstanding,
+}
+
+impl Pick for Aperture {
+    fn pick(&mut self, choice: &Choice, chance: &mut Chance) -> Option<usize> {
+        let n = choice.servers.len();
+        let mut ring: Vec<usize> = (0..n).collect();
+        ring.sort_by_key(|&i| Chance::new(choice.servers[i].name, 0).bits());
+        ring.rotate_left(((self.begins * n as f64) as usize).min(n));
+        ring.truncate(APERTURE);
+        let out = |i: &usize| self.out.out.get(&choice.servers[*i].server).copied().unwrap_or(0);
+        let two = [(); 2].map(|()| ring[chance.below(ring.len())]);
+        two.into_iter().min_by_key(out)
+    }
+
+    fn sent(&mut self, now: Time, server: ServerId, work: f64) {
+        self.out.sent(now, server, work);
+    }
+
+    fn ended(&mut self, now: Time, server: ServerId, work: f64, outcome: Outcome, latency: Duration) {
+        self.out.ended(now, server, work, outcome, latency);
+    }
+}
+
 /// What the nodes of a bounded oracle know together.
 #[derive(Debug, Default)]
 pub struct Together {
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -46,6 +46,12 @@
     ("storm-2.0", include_str!("../scenarios/storm-2.0.toml")),
     ("loud", include_str!("../scenarios/loud.toml")),
     ("start", include_str!("../scenarios/start.toml")),
+    ("fleet-calm", include_str!("../scenarios/fleet-calm.toml")),
+    ("fleet-roll", include_str!("../scenarios/fleet-roll.toml")),
+    ("fleet-herd", include_str!("../scenarios/fleet-herd.toml")),
+    ("fleet-zone", include_str!("../scenarios/fleet-zone.toml")),
+    ("fleet-split", include_str!("../scenarios/fleet-split.toml")),
+    ("fleet-join", include_str!("../scenarios/fleet-join.toml")),
 ];
 
 /// Why a scenario can't be played.
@@ -81,6 +87,8 @@
 impl Size {
     /// A fleet as it is in service today.
     pub const TODAY: Size = Size { nodes: 250, servers: 64 };
+    /// A whole fleet in which each node has tens of requests a second: for the scenarios named `fleet-`.
+    pub const WHOLE: Size = Size { nodes: 300, servers: 200 };
     /// The fleet that is to come.
     pub const FULL: Size = Size { nodes: 1250, servers: 312 };
 }
@@ -115,6 +123,8 @@
     pub reports: ReportsOf,
     /// Delays between the parts.
     pub network: Network,
+    /// The nodes.
+    pub nodes: NodesOf,
     /// What the site takes off for what nodes do.
     pub prices: PricesOf,
     /// What goes wrong, in any order.
@@ -183,6 +193,16 @@
     pub notice: f64,
     /// Seconds over which it reaches the nodes.
     pub spread: f64,
+    /// Whether a new connection takes a round trip before its first request; it is counted either way.
+    pub connect: bool,
+}
+
+/// The nodes.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct NodesOf {
+    /// Coefficient of variation of their traffic (lognormal); 0: clients come to all alike.
+    pub skew: f64,
 }
 
 /// What is taken off the worth kept, for each first try.
@@ -193,6 +213,8 @@
     pub probe: f64,
     /// For a new connection.
     pub handshake: f64,
+    /// For an attempt that crosses halls.
+    pub cross: f64,
 }
 
 /// A fault with its time.
@@ -301,6 +323,31 @@
     },
     /// The registry tells nobody anything until the end.
     Registry {},
+    /// Nodes are killed, in batches, and start again from nothing but the list.
+    Restart {
+        /// Which part of the nodes.
+        part: f64,
+        /// A batch, as a part of the nodes.
+        batch: f64,
+        /// Seconds between the batches.
+        #[serde(default = "forever")]
+        every: f64,
+        /// Seconds until one is back. What comes to it meanwhile is lost.
+        down: f64,
+    },
+    /// A hall is cut off from the others: what would cross its border is lost without a word.
+    Cut {
+        /// Which.
+        hall: u8,
+    },
+    /// Some answers are lost on their way: their attempts run into their time-outs, or into a reset.
+    Lose {
+        /// Which part of the answers.
+        part: f64,
+        /// The part of these whose connection is reset.
+        #[serde(default)]
+        reset: f64,
+    },
     /// One node gets so many times the others' traffic.
     Loud {
         /// On its rate.
@@ -328,6 +375,7 @@
             servers: Servers::default(),
             reports: ReportsOf::default(),
             network: Network::default(),
+            nodes: NodesOf::default(),
             prices: PricesOf::default(),
             fault: Vec::new(),
         }
@@ -363,7 +411,7 @@
 
 impl Default for Network {
     fn default() -> Self {
-        Network { halls: 5, same: 0.00014, cross: 0.00043, notice: 2.0, spread: 0.05 }
+        Network { halls: 5, same: 0.00014, cross: 0.00043, notice: 2.0, spread: 0.05, connect: false }
     }
 }
 
@@ -414,6 +462,8 @@
             ("network.spread", self.network.spread),
             ("prices.probe", self.prices.probe),
             ("prices.handshake", self.prices.handshake),
+            ("prices.cross", self.prices.cross),
+            ("nodes.skew", self.nodes.skew),
         ] {
             within(key, value, time, "0 or more")?;
         }
@@ -482,7 +532,7 @@
             may_cancel: true,
             may_probe: self.reports.by_probe,
             second_copies: true,
-            conn_idle: seconds(15.0),
+            conn_idle: seconds(IDLE),
             connect_timeout: seconds(0.25),
             max_wait: Some(seconds(2.0)),
             rules: Rules {
@@ -497,6 +547,9 @@
     }
 }
 
+/// Seconds after which servers close idle connections.
+pub(crate) const IDLE: f64 = 15.0;
+
 /// The tenants' shares of the requests.
 pub const TENANTS: [f64; 2] = [0.73, 0.27];
 
@@ -540,6 +593,17 @@
             }
             Deed::Late { delay } => within("fault.delay", delay, (0.0, 1e3), "0 or more seconds"),
             Deed::Registry {} => Ok(()),
+            Deed::Restart { part: p, batch, every, down } => {
+                within("fault.part", p, part, "0 to 1")?;
+                within("fault.batch", batch, (1e-3, 1.0), "0.001 to 1")?;
+                within("fault.every", every, (1e-3, f64::INFINITY), "seconds, at least 0.001")?;
+                within("fault.down", down, (0.0, 1e3), "0 or more seconds")
+            }
+            Deed::Cut { hall } => within("fault.hall", f64::from(hall), (0.0, 254.0), "a hall, from 0"),
+            Deed::Lose { part: p, reset } => {
+                within("fault.part", p, part, "0 to 1")?;
+                within("fault.reset", reset, part, "0 to 1")
+            }
         }
     }
 }
--- a/crates/lab/src/world/clients.rs
+++ b/crates/lab/src/world/clients.rs
@@ -24,9 +24,13 @@
         let class = u8::from(class >= s.unsafe_part);
         let second = TENANTS[1] * self.tenant;
         let tenant = u16::from(tenant < second / (TENANTS[0] + second));
-        let n = self.nodes.len();
+        let n = self.places.len();
         let all = n as f64 - 1.0 + self.loud;
-        let node = ((node * all - self.loud + 1.0).max(0.0) as usize).min(n - 1);
+        let node = match self.weights.last() {
+            Some(sum) => self.weights.partition_point(|w| *w <= node * sum),
+            None => (node * all - self.loud + 1.0).max(0.0) as usize,
+        };
+        let place = node.min(n - 1);
         let mut work = self.clients.lognormal(s.work, s.work_cv);
         if class == 0 && heavy < self.heavy.0 {
             work *= self.heavy.1;
@@ -37,7 +41,7 @@
             at: self.now,
             class,
             tenant,
-            node,
+            place,
             work,
             worth,
             tries: 0,
@@ -68,7 +72,16 @@
         let ends = self.now + seconds(self.scenario.deadline);
         let (sent, outcome) = (None, None);
         let of = self.tries.len();
-        self.tries.push(Try { order, at: self.now, ends, answers: 0, sent, attempts: 0, outcome });
+        self.tries.push(Try {
+            order,
+            at: self.now,
+            ends,
+            answers: 0,
+            sent,
+            attempts: 0,
+            outcome,
+            lost: false,
+        });
         self.book.tries += 1;
         let due = Time(ends.0.saturating_sub(MARGIN.as_nanos() as u64));
         let incoming = Incoming {
@@ -81,7 +94,12 @@
             name: of.to_be_bytes().into(),
             request: of,
         };
-        let node = o.node;
+        let node = self.places[o.place];
+        if self.nodes[node].dead {
+            o.ended = Some(Err(Cause::NodeGone));
+            self.tries[of].lost = true;
+            return;
+        }
         self.book.events += 1;
         if let Ok(id) = self.nodes[node].engine.arrive(self.now, incoming) {
             self.nodes[node].requests.insert(id, of);
--- a/crates/lab/src/world/faults.rs
+++ b/crates/lab/src/world/faults.rs
@@ -75,6 +75,18 @@
             Deed::Rate { factor } => self.rate = factor,
             Deed::Loud { factor } => self.loud = factor,
             Deed::Registry {} => self.silent = true,
+            Deed::Restart { part, .. } => {
+                let mut places: Vec<usize> = (0..self.places.len()).collect();
+                let count = (part * places.len() as f64).round() as usize;
+                for k in 0..count {
+                    let other = k + self.chance.below(places.len() - k);
+                    places.swap(k, other);
+                }
+                places.truncate(count);
+                self.restart(fault, places.into());
+            }
+            Deed::Cut { hall } => self.cut = Some(hall),
+            Deed::Lose { part, reset } => self.lost = (part, reset),
         }
     }
 
@@ -85,6 +97,8 @@
             Deed::Tenant { .. } => self.tenant = 1.0,
             Deed::Rate { .. } => self.rate = 1.0,
             Deed::Loud { .. } => self.loud = 1.0,
+            Deed::Cut { .. } => self.cut = None,
+            Deed::Lose { .. } => self.lost = (0.0, 0.0),
             Deed::Registry {} => {
                 self.silent = false;
                 let entries = std::mem::take(&mut self.held_back);
@@ -121,6 +135,19 @@
         self.agenda.put(self.now + seconds(next), Happening::Again { fault, server });
     }
 
+    /// A batch of nodes is killed, and will be back.
+    pub(super) fn restart(&mut self, fault: usize, mut left: VecDeque<usize>) {
+        let Deed::Restart { batch, every, down, .. } = self.scenario.fault[fault].deed else { return };
+        let count = ((batch * self.places.len() as f64).round() as usize).clamp(1, left.len().max(1));
+        for place in left.drain(..count.min(left.len())).collect::<Vec<_>>() {
+            self.kill_node(place);
+            self.agenda.put(self.now + seconds(down), Happening::Back(place));
+        }
+        if !left.is_empty() && every.is_finite() {
+            self.agenda.put(self.now + seconds(every), Happening::Restart { fault, left });
+        }
+    }
+
     /// A batch drains and is replaced by cold successors with names of their own.
     pub(super) fn batch(&mut self, fault: usize, mut left: VecDeque<usize>) {
         let Deed::Release { batch, every, drain, .. } = self.scenario.fault[fault].deed else { return };
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -30,6 +30,10 @@
     requests: FxHashMap<RequestId, usize>,
     /// Servers that it was told to send nothing new, and when.
     told: FxHashMap<ServerId, Time>,
+    /// Since when its idle connections to each server have been so.
+    idle: FxHashMap<usize, Vec<Time>>,
+    /// It was killed: nothing reaches it any more.
+    dead: bool,
 }
 
 /// A client's order, with all its tries.
@@ -37,7 +41,7 @@
     at: Time,
     class: u8,
     tenant: u16,
-    node: usize,
+    place: usize,
     work: f64,
     worth: f64,
     tries: u32,
@@ -59,6 +63,8 @@
     sent: Option<(usize, Time, f64)>,
     attempts: u32,
     outcome: Option<Outcome>,
+    /// Its node was killed before it had answered.
+    lost: bool,
 }
 
 /// See the module's words.
@@ -69,7 +75,13 @@
     ends: Time,
     agenda: Agenda,
     hall: Rc<RefCell<Hall>>,
+    peer: Peer,
+    together: Rc<RefCell<Together>>,
     nodes: Vec<Node>,
+    /// Which node fills each of the fleet's places.
+    places: Vec<usize>,
+    /// Sums of the places' traffic up to each, where that is uneven.
+    weights: Vec<f64>,
     orders: Vec<Order>,
     tries: Vec<Try>,
     chance: Chance,
@@ -85,6 +97,10 @@
     heavy: (f64, f64),
     /// Added to the age of all reports.
     late: f64,
+    /// The hall that is cut off.
+    cut: Option<u8>,
+    /// The part of answers that is lost, and of these the part that is reset.
+    lost: (f64, f64),
     /// The registry keeps its words to itself.
     silent: bool,
     held_back: Vec<ServerEntry>,
@@ -121,20 +137,14 @@
         let hall = Rc::new(RefCell::new(Hall { machines, rules: settings.rules.clone() }));
         let together = Rc::new(RefCell::new(Together::default()));
         let now = Time(ORIGIN);
-        let mut nodes = Vec::new();
-        for n in 0..size.nodes {
-            let zone = (n % u32::from(halls)) as u8;
-            let settings = scenario.settings(size, n);
-            let decide = peer.decide(
-                settings.clone(),
-                Chance::new(seed, 1000 + u64::from(n)).bits(),
-                now,
-                &hall,
-                &together,
-            )?;
-            let (requests, told) = (FxHashMap::default(), FxHashMap::default());
-            nodes.push(Node { engine: Engine::new(decide, &settings), zone, wake: None, requests, told });
-        }
+        let mut even = Chance::new(seed, 3);
+        let mut sum = 0.0;
+        let skew = scenario.nodes.skew;
+        let weights = (0..size.nodes).filter(|_| skew > 0.0).map(|_| {
+            sum += even.lognormal(1.0, skew);
+            sum
+        });
+        let weights = weights.collect();
         let mut world = World {
             scenario: scenario.clone(),
             size,
@@ -142,7 +152,11 @@
             ends: now + seconds(scenario.seconds),
             agenda: Agenda::default(),
             hall,
-            nodes,
+            peer,
+            together,
+            nodes: Vec::new(),
+            places: Vec::new(),
+            weights,
             orders: Vec::new(),
             tries: Vec::new(),
             chance,
@@ -156,6 +170,8 @@
             loud: 1.0,
             heavy: (0.0, 1.0),
             late: 0.0,
+            cut: None,
+            lost: (0.0, 0.0),
             silent: false,
             held_back: Vec::new(),
             struck: vec![Vec::new(); scenario.fault.len()],
@@ -170,10 +186,12 @@
                 world.agenda.put(at(fault.until), Happening::End(k));
             }
         }
-        let entries: Vec<ServerEntry> = (0..size.servers as usize).map(|s| world.entry(s)).collect();
-        for node in 0..world.nodes.len() {
-            world.nodes[node].engine.list(now, ListKind::Full, entries.clone());
-            world.pump(node);
+        for place in 0..size.nodes as usize {
+            let node = world.begin_node(place)?;
+            world.places.push(node);
+        }
+        for node in world.places.clone() {
+            world.tell_all(node);
         }
         world.next_arrival();
         Ok(world)
@@ -197,22 +215,28 @@
             Happening::Arrival => self.arrival(),
             Happening::Retry(order) => self.try_once(order),
             Happening::Wake(node) => {
-                if self.nodes[node].wake == Some(self.now) {
+                if self.nodes[node].wake == Some(self.now) && !self.nodes[node].dead {
                     self.nodes[node].wake = None;
                     self.nodes[node].engine.wake(self.now);
                     self.pump(node);
                 }
             }
             Happening::Take { node, attempt, server, of, work } => self.take(node, attempt, server, of, work),
-            Happening::Told { node, attempt, outcome, report } => {
+            Happening::Told { node, attempt, server, outcome, report } => {
                 let answer = (outcome == Outcome::Served).then_some(());
-                self.nodes[node].engine.ended(self.now, attempt, Ended { outcome, report, answer });
-                self.pump(node);
+                if !self.nodes[node].dead {
+                    self.released(node, server, outcome);
+                    self.nodes[node].engine.ended(self.now, attempt, Ended { outcome, report, answer });
+                    self.pump(node);
+                }
             }
             Happening::Probe { node, probe, server } => self.probe(node, probe, server),
-            Happening::Probed { node, probe, outcome, report } => {
-                self.nodes[node].engine.probed(self.now, probe, outcome, report);
-                self.pump(node);
+            Happening::Probed { node, probe, server, outcome, report } => {
+                if !self.nodes[node].dead {
+                    self.released(node, server, outcome);
+                    self.nodes[node].engine.probed(self.now, probe, outcome, report);
+                    self.pump(node);
+                }
             }
             Happening::Serve(server) => {
                 if self.hall.borrow().machines[server].wake == Some(self.now) {
@@ -220,7 +244,9 @@
                 }
             }
             Happening::Noticed(entries) => self.noticed(entries),
+            Happening::List { node, .. } if self.nodes[node].dead => {}
             Happening::List { node, entries } => {
+                self.book.lists += 1;
                 for e in entries.iter() {
                     let told = &mut self.nodes[node].told;
                     match e.state {
@@ -235,13 +261,15 @@
             Happening::End(fault) => self.end(fault),
             Happening::Again { fault, server } => self.again(fault, server),
             Happening::Batch { fault, left } => self.batch(fault, left),
+            Happening::Restart { fault, left } => self.restart(fault, left),
+            Happening::Back(place) => self.back(place),
             Happening::Kill { server, silent } => self.kill(server, silent),
             Happening::Start(servers) => self.start(servers),
         }
     }
     fn close(mut self) -> Book {
         for t in &self.tries {
-            self.book.broken.answers += u64::from(t.answers == 0);
+            self.book.broken.answers += u64::from(t.answers == 0 && !t.lost);
         }
         for k in 0..self.orders.len() {
             let o = &self.orders[k];
--- a/crates/lab/src/world/registry.rs
+++ b/crates/lab/src/world/registry.rs
@@ -4,7 +4,7 @@
 use crate::agenda::Happening;
 use crate::hall::Life;
 use crate::scenario::seconds;
-use finchvale::{CellId, KindId, ServerEntry, ServerId, ServerState, ZoneId};
+use finchvale::{CellId, KindId, ListKind, ServerEntry, ServerId, ServerState, ZoneId};
 use std::rc::Rc;
 
 impl World {
@@ -26,6 +26,15 @@
         }
     }
 
+    /// A node that has just started is told the list as it stands.
+    pub(super) fn tell_all(&mut self, node: usize) {
+        let servers = self.hall.borrow().machines.len();
+        let listed = (0..servers).map(|s| self.entry(s)).filter(|e| e.state != ServerState::Gone);
+        let entries = listed.collect();
+        self.nodes[node].engine.list(self.now, ListKind::Full, entries);
+        self.pump(node);
+    }
+
     /// Some servers have changed: the registry will notice.
     pub(super) fn changed(&mut self, servers: &[usize]) {
         let entries = servers.iter().map(|&s| self.entry(s)).collect();
@@ -38,7 +47,7 @@
             return self.held_back.extend(entries);
         }
         let entries = Rc::new(entries);
-        for node in 0..self.nodes.len() {
+        for node in self.places.clone() {
             let at = self.now + seconds(self.scenario.network.spread * self.chance.unit());
             self.agenda.put(at, Happening::List { node, entries: entries.clone() });
         }
--- a/crates/lab/src/world/servers.rs
+++ b/crates/lab/src/world/servers.rs
@@ -175,6 +175,8 @@
             }
         };
         let way = self.way(self.nodes[node].zone, server);
-        self.agenda.put(self.now + way, Happening::Probed { node, probe, outcome, report });
+        if !self.severed(self.nodes[node].zone, server) {
+            self.agenda.put(self.now + way, Happening::Probed { node, probe, server, outcome, report });
+        }
     }
 }
