Connections: what fails to come up counts by zone; servers that fall silent are closed at once

Now each zone has its own, as a chance instead of a wait, learnt by probes too; nobody counts as connected by an attempt that timed out. A server at which something is out for 2.5 usual latencies and that has said nothing since is closed at the next tick, and the aperture reaches on.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -288,6 +288,11 @@
 }
 
 impl Outcome {
+    /// Whether the server itself has said something.
+    pub fn spoken(self) -> bool {
+        matches!(self, Outcome::Served | Outcome::Error | Outcome::TurnedAway)
+    }
+
     /// Whether this outcome proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
         matches!(self, Outcome::TurnedAway | Outcome::Unreachable | Outcome::NotSent)
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -33,6 +33,8 @@
     pub spread: f64,
     /// The part of its speed that the server surely has.
     pub pace: f64,
+    /// Chance that no connection comes up.
+    pub shut: f64,
     /// Chance that it is turned away unseen.
     pub turned: f64,
     /// Chance that it fails otherwise.
@@ -44,7 +46,7 @@
     /// normal).
     pub(crate) fn in_time(&self, work: f64, within: f64) -> f64 {
         let z = (within - self.wait - work / self.pace) / self.spread.max(1e-6);
-        1.0 / (1.0 + (-1.7 * z).exp())
+        (1.0 - self.shut) / (1.0 + (-1.7 * z).exp())
     }
 
     /// What a request is worth there, as a part of its worth: its chance of being in time, less what its
@@ -81,10 +83,7 @@
         (chance(met.turned, usual.0), chance(met.failed, usual.1))
     };
     let [idle, busy] = [0.0, 1.0].map(|held| chances(alike(held, pace < 1.0)));
-    let shut = match s.connected(now, b.settings.conn_idle) {
-        true => 0.0,
-        false => b.refused * b.settings.connect_timeout.as_secs_f64(),
-    };
+    let shut = b.shut(s, now);
     let (work, spread) = match r.work {
         Some(work) => (work, HINT_SPREAD),
         None => (b.mean_work, UNHINTED_SPREAD),
@@ -95,7 +94,8 @@
         let (turned, failed) = if held >= 1.0 { busy } else { idle };
         Estimate {
             pace,
-            wait: ahead * b.mean_work / pace + shut,
+            wait: ahead * b.mean_work / pace,
+            shut,
             surprise,
             spread: (ahead * (SPREAD * b.mean_work).powi(2) + (spread * work).powi(2)).sqrt() / pace,
             turned,
@@ -121,7 +121,8 @@
 
 /// The same at an idle server of which nothing is known.
 pub(crate) fn alone(work: f64) -> Estimate {
-    Estimate { pace: 1.0, wait: 0.0, surprise: 0.0, spread: HINT_SPREAD * work, turned: 0.0, failed: 0.0 }
+    let spread = HINT_SPREAD * work;
+    Estimate { pace: 1.0, wait: 0.0, surprise: 0.0, spread, shut: 0.0, turned: 0.0, failed: 0.0 }
 }
 
 /// The kind of servers that such a one is judged with: one that has just started may look idle and be sound
--- a/src/policy/market.rs
+++ b/src/policy/market.rs
@@ -74,7 +74,7 @@
         return None;
     }
     b.solved = Some(now);
-    b.refused *= 1.0 - (dt / FORGET).min(1.0);
+    b.refused.iter_mut().for_each(|part| *part *= 1.0 - (dt / FORGET).min(1.0));
     let n = b.ready.len() as f64;
     let [mut price, mut load, mut loads, mut speed, mut speeds, mut weight] = [0.0; 6];
     for k in 0..b.ready.len() {
@@ -110,6 +110,7 @@
         let longest = b.settings.classes.iter().map(|c| c.aim.as_secs_f64()).fold(0.0, f64::max);
         cold::Budget::new(&b.settings.rules, b.mean_load, &b.works, longest)
     });
+    let patience = Duration::from_secs_f64(OVERDUE * b.latency);
     let lines = b.ready.iter().map(|&i| {
         let s = &b.servers[i];
         let speed = if b.settings.weights_given {
@@ -134,8 +135,10 @@
         let usual = out * s.share / shares;
         let price = s.price + own_price * (s.out.len() as f64 - usual) / (usual + 1.0);
         // Where new connections fail, a server without an open one is dearer.
-        let shut = if known || s.connected(now, b.settings.conn_idle) { 0.0 } else { b.refused };
-        Line { price: price + shut, speed: speed.max(0.01), most }
+        let shut = if known { 0.0 } else { b.shut(s, now) };
+        // One that has fallen silent is closed at once: reports and time-outs come too late for that.
+        let silent = if s.silent(now, patience) { FAILED_PRICE } else { 0.0 };
+        Line { price: price + shut + silent, speed: speed.max(0.01), most }
     });
     let lines: Vec<Line> = lines.collect();
     let floor = if known { FLOOR } else { 0.0 };
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -63,7 +63,7 @@
             list_timer: None,
             latency: (shortest / 2.0).max(1e-3),
             probe_latency: 0.003,
-            refused: 0.0,
+            refused: vec![0.0; usize::from(settings.zones)],
             report_life: market::REPORT_LIFE,
             usual_held: UsualHeld::default(),
             blind: !settings.reports_rate && settings.reports != Reports::ByProbe,
@@ -171,6 +171,9 @@
     if let (Outcome::Served, None, true) = (end.outcome, work, whole) {
         b.markets[usize::from(class.0)].learn_work(end.latency.as_secs_f64());
     }
+    if let (true, Some(&i)) = (end.outcome.spoken(), b.index.get(&server)) {
+        b.servers[i].word = now;
+    }
     if let (Outcome::Served, Some(work), true, Some(&i)) = (end.outcome, work, whole, b.index.get(&server)) {
         let pace = b.servers[i].warmth(&b.settings.rules, now).max(1e-3);
         b.heard(i, sent, estimate::held_then(b, end.latency.as_secs_f64(), work, pace));
--- a/src/policy/probes.rs
+++ b/src/policy/probes.rs
@@ -122,7 +122,13 @@
 pub(crate) fn probed(b: &mut Balancer, now: Time, p: &Probed, actions: &mut Vec<Action>) {
     let mut asked = Asked::Silent;
     if let Some(&i) = b.index.get(&p.server) {
-        b.servers[i].probing = None;
+        let fresh = !b.servers[i].connected(now, b.settings.conn_idle);
+        // A new connection takes longer to fail than a probe is waited for.
+        let outcome = if p.outcome == Outcome::TimedOut { Outcome::Unreachable } else { p.outcome };
+        b.learn_connection(now, p.server, fresh, outcome);
+        let s = &mut b.servers[i];
+        s.probing = None;
+        s.word = if outcome.spoken() { now } else { s.word };
     }
     match p.outcome {
         Outcome::Served => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -83,6 +83,8 @@
     pub share: f64,
     /// When this node last had a connection to it.
     pub connected: Option<Time>,
+    /// When anything last came back from it.
+    pub word: Time,
     /// Send times of the attempts that are out.
     pub out: Vec<Time>,
     /// Requests held by the latest answer to a probe, with what this node has sent and got back since.
@@ -118,6 +120,7 @@
             answered: now,
             share: 0.0,
             connected: None,
+            word: now,
             out: Vec::new(),
             held: None,
             heard: now,
@@ -145,6 +148,11 @@
         self.connected.is_some_and(|at| now < at + idle)
     }
 
+    /// Whether something has been out there for longer than this, and nothing at all came back since it was sent.
+    pub(crate) fn silent(&self, now: Time, patience: Duration) -> bool {
+        self.out.iter().find(|sent| **sent >= self.word).is_some_and(|sent| now > *sent + patience)
+    }
+
     pub(crate) fn learn(&mut self, now: Time, sample: f64, memory: f64) {
         self.evidence = (self.evidence + 1.0).min(memory);
         self.speed += (sample - self.speed) / self.evidence;
@@ -324,8 +332,8 @@
     pub(crate) list_timer: Option<TimerId>,
     pub(crate) latency: f64,
     pub(crate) probe_latency: f64,
-    /// Part of the new connections that fail, of late.
-    pub(crate) refused: f64,
+    /// Part of the new connections to each zone that fail, of late.
+    pub(crate) refused: Vec<f64>,
     /// Seconds for which a report counts as news.
     pub(crate) report_life: f64,
     /// Mean requests held and busy part, of servers that are not saturated.
@@ -406,12 +414,12 @@
         if outcome == Outcome::NotSent {
             return;
         }
-        if fresh {
+        let Some(&i) = self.index.get(&server) else { return };
+        if let (true, Some(refused)) = (fresh, self.refused.get_mut(usize::from(self.servers[i].zone.0))) {
             let failed = f64::from(u8::from(outcome == Outcome::Unreachable));
-            self.refused += (failed - self.refused) / 8.0;
+            *refused += (failed - *refused) / 8.0;
         }
-        let Some(&i) = self.index.get(&server) else { return };
-        let held = !matches!(outcome, Outcome::Unreachable | Outcome::Broken);
+        let held = outcome.spoken();
         self.servers[i].connected = held.then_some(now).or(self.servers[i].connected);
     }
 
@@ -421,6 +429,14 @@
         (loads, s.held.map_or(0.0, |_| loads.stands((now - s.heard).as_secs_f64())))
     }
 
+    /// The chance that a server is not to be had, for want of a connection.
+    pub(crate) fn shut(&self, s: &Server, now: Time) -> f64 {
+        match s.connected(now, self.settings.conn_idle) {
+            true => 0.0,
+            false => self.refused.get(usize::from(s.zone.0)).copied().unwrap_or(0.0),
+        }
+    }
+
     /// One send less is out.
     pub(crate) fn returned(&mut self, server: ServerId, sent: Time) {
         let Some(&i) = self.index.get(&server) else { return };
