--- a/src/policy/tests/aperture.rs
+++ b/src/policy/tests/aperture.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::interface::*;
 use crate::policy::{admission, market};
+use std::time::Duration;
 
 /// The nodes of a fleet that pays for probes, as they are started.
 fn node(me: Option<u32>, nodes: u32, seed: u64) -> Balancer {
@@ -124,3 +125,23 @@
     }
     assert!(open(&b).len() <= LEAST_OPEN as usize + 1, "{}", open(&b).len());
 }
+
+/// A zone that is cut off says nothing: each of its servers took another request every half second until the first ran into
+/// its deadline. One at which something is out for long is closed, unless anything came back since that was sent.
+#[test]
+fn servers_that_fall_silent_are_left_before_anything_times_out() {
+    let mut b = with_list(Some(3), 10, 1, 0..60);
+    let first = open(&b);
+    let late = at(1) + Duration::from_secs_f64(1.2 * market::OVERDUE * b.latency);
+    for server in &first {
+        let i = b.index[server];
+        b.servers[i].out.push(at(1));
+    }
+    let spoke = b.index[&first[0]];
+    b.servers[spoke].word = at(2);
+    admission::refresh(&mut b, late);
+    let now = open(&b);
+    assert!(now.contains(&first[0]), "it has answered another since");
+    assert!(first[1..].iter().all(|s| !now.contains(s)), "{now:?} still has some of {first:?}");
+    assert!(now.len() >= LEAST_OPEN as usize, "{now:?}");
+}
