Market: silence closes a server only where requests don't ask it afresh

Where all candidates are asked for each request, what they answer says more than what is out there. It stays on where a node deals with its aperture only.

--- a/src/policy/market.rs
+++ b/src/policy/market.rs
@@ -111,6 +111,7 @@
         cold::Budget::new(&b.settings.rules, b.mean_load, &b.works, longest)
     });
     let patience = Duration::from_secs_f64(OVERDUE * b.latency);
+    let narrow = b.markets.iter().any(|m| m.narrow);
     let lines = b.ready.iter().map(|&i| {
         let s = &b.servers[i];
         let speed = if b.settings.weights_given {
@@ -136,8 +137,8 @@
         let price = s.price + own_price * (s.out.len() as f64 - usual) / (usual + 1.0);
         // Where new connections fail, a server without an open one is dearer.
         let shut = if known { 0.0 } else { b.shut(s, now) };
-        // One that has fallen silent is closed at once: reports and time-outs come too late for that.
-        let silent = if s.silent(now, patience) { FAILED_PRICE } else { 0.0 };
+        // One that has fallen silent is closed at once, where requests don't ask afresh: time-outs come late.
+        let silent = if narrow && s.silent(now, patience) { FAILED_PRICE } else { 0.0 };
         Line { price: price + shut + silent, speed: speed.max(0.01), most }
     });
     let lines: Vec<Line> = lines.collect();
