Cluster: membership among nodes as a core without I/O, and fleets of it in virtual time

Nodes know nothing of each other: their number is told once, and nothing can be done as a fleet. The core takes SWIM's probing and gossip and Lifeguard's doubt of oneself, and adds that a death rests on witnesses, each confirmed by a third node, and that who is deaf, unheard, paused or accused condemns nobody. The laboratory plays fleets of the same core in virtual time with loss, cuts for each ordered pair, pauses, stutter and restarts.

Seen on the way: rounds that overlapped the probe's period took 0.8 s each, witnesses' words took the whole gossip's time, and under 30% loss suspicions told after two rounds filled the news. Rounds in vain now follow one another, third nodes that heard nothing look on and tell whom they did it for, and a suspicion is told after three.

Nothing of it runs in the node yet.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,8 @@
 //! node sees. All of them meet the same arrivals, work and faults. The [`book`] says what came of it: worth answered in
 //! time, what became of the rest and why, and which rules were broken.
 //!
+//! [`members`] plays fleets of members in the same way: who holds whom for alive, through faults of processes and network.
+//!
 //! The same scenario, size, seed and policy give the same run to the last event.
 
 #![forbid(unsafe_code)]
@@ -15,6 +17,7 @@
 pub mod book;
 pub mod chance;
 mod hall;
+pub mod members;
 pub mod model;
 pub mod policy;
 pub mod scenario;
--- /dev/null
+++ b/crates/lab/src/members/beats.rs
@@ -0,0 +1,40 @@
+//! A baseline: every member tells every other that it lives, once a second, and is dead to whoever heard nothing for so long.
+
+use crate::chance::Chance;
+
+/// Seconds without a beat until a member is given up: what a pause of 2 s and one lost beat want.
+const PATIENCE: u32 = 4;
+
+/// What came of it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Beats {
+    /// Members given up, by anyone, that lived.
+    pub false_verdicts: u64,
+    /// Datagrams a second that a member sends.
+    pub datagrams: f64,
+}
+
+/// Plays so many seconds of a fleet in which so large a part of the datagrams is lost and so large a part of members is
+/// stopped for 0.4 s of each second, which delays beats and loses none.
+pub fn play(size: usize, seconds: u32, loss: f64, seed: u64) -> Beats {
+    let mut chance = Chance::new(seed, 72);
+    let mut missed = vec![0u8; size * size];
+    let mut beats = Beats { datagrams: (size - 1) as f64, ..Beats::default() };
+    for _ in 0..seconds {
+        for (pair, missed) in missed.iter_mut().enumerate() {
+            if pair / size == pair % size {
+                continue;
+            }
+            if chance.unit() >= loss {
+                *missed = 0;
+                continue;
+            }
+            *missed += 1;
+            if u32::from(*missed) == PATIENCE {
+                beats.false_verdicts += 1;
+            }
+            *missed = (*missed).min(PATIENCE as u8);
+        }
+    }
+    beats
+}
--- /dev/null
+++ b/crates/lab/tests/members.rs
@@ -0,0 +1,349 @@
+//! The claims of `birchswitch_cluster` under faults, in virtual time: twelve members, every seed the same run again.
+
+use birchswitch_cluster::wire::{self, Body, Message, News, Sender};
+use birchswitch_cluster::{
+    Action, Change, Core, Event, MemberId, Record, Settings, Standing, State, Topic, Trouble,
+};
+use birchswitch_lab::members::measure::{quiet, settings};
+use birchswitch_lab::members::{address, name, Fleet, Network};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+const SECOND: Duration = Duration::from_secs(1);
+const SEEDS: std::ops::Range<u64> = 1..9;
+
+fn up(size: usize, seed: u64) -> Fleet {
+    let mut fleet = Fleet::up(size, settings(false), seed);
+    fleet.run(3 * SECOND);
+    fleet
+}
+
+fn lossy(loss: f64) -> Network {
+    Network { loss, ..Network::default() }
+}
+
+/// Places that anyone declared dead.
+fn condemned(fleet: &Fleet) -> BTreeSet<usize> {
+    let places = |id: MemberId| (0..fleet.size()).find(|n| MemberId::of(&name(*n)) == id);
+    fleet.verdicts().filter_map(|(_, id)| places(id)).collect()
+}
+
+fn all_hold(fleet: &Fleet, n: usize, state: State) -> bool {
+    fleet.running().into_iter().filter(|other| *other != n).all(|other| fleet.holds(other, n) == Some(state))
+}
+
+fn noticed(fleet: &Fleet, n: usize, trouble: &Trouble) -> bool {
+    fleet.noted.iter().any(|x| x.by == n && matches!(&x.change, Change::Own(t) if t == trouble))
+}
+
+#[test]
+fn a_death_is_known_to_all_and_nobody_else_is_condemned() {
+    for (seed, loss) in SEEDS.flat_map(|seed| [(seed, 0.0), (seed, 0.2)]) {
+        let mut fleet = up(12, seed);
+        fleet.network = lossy(loss);
+        fleet.kill(5);
+        let known = fleet.run_for(12 * SECOND, |f| all_hold(f, 5, State::Dead));
+        assert!(known.is_some(), "seed {seed}, loss {loss}");
+        fleet.run(20 * SECOND);
+        assert_eq!(condemned(&fleet), BTreeSet::from([5]), "seed {seed}, loss {loss}");
+    }
+}
+
+#[test]
+fn a_pause_is_borne_for_2_s_and_a_longer_one_condemns_that_member_alone() {
+    for seed in SEEDS {
+        let mut fleet = up(12, seed);
+        fleet.pause(3, 2 * SECOND);
+        fleet.run(15 * SECOND);
+        assert_eq!(condemned(&fleet), BTreeSet::new(), "seed {seed}");
+        let before = fleet.core(3).expect("it runs").own().incarnation;
+        fleet.pause(3, 20 * SECOND);
+        fleet.run(20 * SECOND);
+        assert!(all_hold(&fleet, 3, State::Dead), "seed {seed}");
+        let back = fleet.run_for(5 * SECOND, Fleet::agreed);
+        assert!(back.is_some(), "seed {seed}");
+        fleet.run(10 * SECOND);
+        assert_eq!(condemned(&fleet), BTreeSet::from([3]), "seed {seed}");
+        assert!(fleet.core(3).expect("it runs").own().incarnation > before, "seed {seed}");
+        let held_up = |x: &&Change| matches!(x, Change::Own(Trouble::HeldUp(d)) if *d > 19 * SECOND);
+        assert!(fleet.noted.iter().filter(|x| x.by == 3).map(|x| &x.change).any(|c| held_up(&c)));
+    }
+}
+
+/// The same run without its care condemns the living: the test can fail.
+#[test]
+fn members_that_stutter_condemn_nobody_and_careless_ones_do() {
+    let run = |careless, seed| {
+        let mut fleet = Fleet::up(12, settings(careless), seed);
+        fleet.network = lossy(0.1);
+        for n in [2, 6, 9] {
+            fleet.stutter(n, SECOND * 2 / 5, 60 * SECOND);
+        }
+        fleet.run(70 * SECOND);
+        condemned(&fleet)
+    };
+    for seed in SEEDS {
+        assert_eq!(run(false, seed), BTreeSet::new(), "seed {seed}");
+    }
+    let paused_all = |careless| {
+        let mut fleet = Fleet::up(12, settings(careless), 1);
+        fleet.network = lossy(0.3);
+        (0..12).for_each(|n| fleet.stutter(n, SECOND * 7 / 10, 120 * SECOND));
+        fleet.run(120 * SECOND);
+        condemned(&fleet).len()
+    };
+    assert_eq!(paused_all(false), 0);
+    assert!(paused_all(true) > 0, "without own health and witnesses the living are condemned");
+}
+
+#[test]
+fn one_sided_cuts_condemn_nobody_with_a_road_through_a_third() {
+    for seed in SEEDS {
+        // 0 hears nothing of 1.
+        let mut fleet = up(12, seed);
+        fleet.cut(|from, to| (from, to) == (1, 0));
+        fleet.run(60 * SECOND);
+        assert_eq!(condemned(&fleet), BTreeSet::new(), "seed {seed}: one pair");
+        // 4 can send but hears nobody.
+        let mut fleet = up(12, seed);
+        fleet.cut(|_, to| to == 4);
+        fleet.run(60 * SECOND);
+        assert!(fleet.verdicts().all(|(n, _)| n.by != 4), "seed {seed}: the deaf condemn nobody");
+        assert!(condemned(&fleet).is_subset(&BTreeSet::from([4])), "seed {seed}: deaf");
+        assert!(noticed(&fleet, 4, &Trouble::CutOff), "seed {seed}");
+        assert_eq!(fleet.core(4).expect("it runs").standing(), Standing::CutOff);
+        fleet.heal();
+        assert!(fleet.run_for(5 * SECOND, Fleet::agreed).is_some(), "seed {seed}: back");
+        assert!(noticed(&fleet, 4, &Trouble::Hears), "seed {seed}");
+        // A zone of three hears but isn't heard.
+        let mut fleet = up(12, seed);
+        fleet.cut(|from, to| from < 3 && to >= 3);
+        fleet.run(60 * SECOND);
+        assert!(
+            condemned(&fleet).is_subset(&BTreeSet::from([0, 1, 2])),
+            "seed {seed}: {:?}",
+            condemned(&fleet)
+        );
+        assert!(fleet.verdicts().all(|(n, _)| n.by >= 3), "seed {seed}: who isn't heard condemns nobody");
+        fleet.heal();
+        assert!(fleet.run_for(5 * SECOND, Fleet::agreed).is_some(), "seed {seed}: zone back");
+    }
+}
+
+#[test]
+fn splits_heal_within_5_s_without_a_restart() {
+    for seed in SEEDS {
+        for parts in [2, 3] {
+            let mut fleet = up(12, seed);
+            fleet.cut(move |from, to| from % parts != to % parts);
+            fleet.run(300 * SECOND);
+            fleet.heal();
+            assert!(fleet.run_for(5 * SECOND, Fleet::agreed).is_some(), "seed {seed}, {parts} parts");
+        }
+    }
+}
+
+#[test]
+fn flapping_does_not_run_away() {
+    for seed in SEEDS {
+        let mut fleet = up(12, seed);
+        for _ in 0..10 {
+            fleet.cut(|from, to| (from < 4) != (to < 4));
+            fleet.run(3 * SECOND);
+            fleet.heal();
+            fleet.run(3 * SECOND);
+        }
+        let verdicts = fleet.verdicts().count();
+        assert!(verdicts <= 12 * 10, "seed {seed}: {verdicts}");
+        assert!(fleet.run_for(5 * SECOND, Fleet::agreed).is_some(), "seed {seed}");
+        let most = (0..12).filter_map(|n| fleet.core(n)).map(|c| c.own().incarnation).max();
+        assert!(most < Some(60), "seed {seed}: incarnation {most:?}");
+    }
+}
+
+/// News of the first process's death are held back, doubled, and come after its successor's.
+#[test]
+fn a_quick_restart_survives_old_news_of_its_death() {
+    for seed in SEEDS {
+        let mut fleet = up(12, seed);
+        fleet.network = Network { held_back: 2 * SECOND, doubled: 0.3, loss: 0.1, ..Network::default() };
+        for gap in [300, 3000, 5000] {
+            fleet.kill(7);
+            fleet.run(Duration::from_millis(gap));
+            fleet.start(7);
+            fleet.run(Duration::from_secs(10));
+        }
+        fleet.network = Network::default();
+        assert!(fleet.run_for(10 * SECOND, Fleet::agreed).is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn fleets_form_from_nothing_whatever_starts_first() {
+    for seed in SEEDS {
+        let mut fleet = Fleet::empty(30, settings(false), seed);
+        // The seeds are places 0 to 2: they come last.
+        (3..30).rev().for_each(|n| fleet.start(n));
+        fleet.run(3 * SECOND);
+        (0..3).for_each(|n| fleet.start(n));
+        assert!(fleet.run_for(15 * SECOND, Fleet::agreed).is_some(), "seed {seed}");
+        (0..30).for_each(|n| fleet.kill(n));
+        (0..30).for_each(|n| fleet.start(n));
+        assert!(fleet.run_for(15 * SECOND, Fleet::agreed).is_some(), "seed {seed}: again");
+        assert_eq!(fleet.verdicts().count(), 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn of_two_under_one_name_the_older_yields_and_the_rest_see_one_change() {
+    for seed in SEEDS {
+        let mut fleet = Fleet::empty(13, settings(false), seed);
+        (0..12).for_each(|n| fleet.start(n));
+        fleet.run(15 * SECOND);
+        fleet.noted.clear();
+        fleet.start_as(12, 5);
+        fleet.run(20 * SECOND);
+        assert!(noticed(&fleet, 5, &Trouble::Yielded(address(12))), "seed {seed}");
+        assert!(noticed(&fleet, 12, &Trouble::Twin(address(5))), "seed {seed}");
+        let id = MemberId::of(&name(5));
+        for n in (0..12).filter(|n| *n != 5) {
+            let of =
+                |c: &Change| matches!(c, Change::Returned(m) | Change::Died { member: m, .. } if *m == id);
+            let changes = fleet.noted.iter().filter(|x| x.by == n && of(&x.change)).count();
+            assert_eq!(changes, 1, "seed {seed}, place {n}");
+        }
+        assert_eq!(condemned(&fleet), BTreeSet::new(), "seed {seed}");
+    }
+}
+
+/// A clock that went back over a restart makes no ghost out of the predecessor.
+#[test]
+fn a_restart_under_a_clock_that_went_back_is_taken_in() {
+    let mut fleet = up(12, 3);
+    fleet.kill(4);
+    // The predecessor started a day later, by its own clock.
+    let mut record = fleet.core(5).expect("it runs").own().clone();
+    (record.name, record.address) = (name(4), address(4));
+    record.life.started += 86_400_000;
+    let news = News::Alive(record.clone()).encode();
+    let sender = Sender { id: MemberId(1), life: record.life, incarnation: 1 };
+    let body = Body::Records;
+    let message = Message { sender, body, news: vec![news] };
+    fleet.inject(0, address(11), wire::encode("lab", &message));
+    fleet.run(SECOND);
+    fleet.start(4);
+    assert!(fleet.run_for(15 * SECOND, Fleet::agreed).is_some());
+    assert!(fleet.core(4).expect("it runs").own().life > record.life);
+}
+
+#[test]
+fn who_leaves_is_gone_at_once_and_makes_no_minority() {
+    let mut fleet = up(12, 1);
+    (0..8).for_each(|n| fleet.leave(n));
+    let all = |f: &Fleet| (8..12).all(|n| f.core(n).is_some_and(|c| c.count(State::Left) == 8));
+    assert!(fleet.run_for(10 * SECOND, all).is_some());
+    assert_eq!(condemned(&fleet), BTreeSet::new());
+    assert!((8..12).all(|n| fleet.core(n).map(|c| c.standing()) == Some(Standing::Majority)));
+    assert!((8..12).all(|n| fleet.core(n).map(|c| c.agreed()) == Some(4)));
+}
+
+/// Three tenths of a fleet see each other and no majority of it, until more are back.
+#[test]
+fn seven_in_ten_killed_are_known_and_leave_a_minority() {
+    for seed in SEEDS {
+        let mut fleet = up(20, seed);
+        (0..14).for_each(|n| fleet.kill(n));
+        let known = |f: &Fleet| (14..20).all(|n| f.core(n).is_some_and(|c| c.count(State::Dead) == 14));
+        assert!(fleet.run_for(20 * SECOND, known).is_some(), "seed {seed}");
+        assert!((14..20).all(|n| fleet.core(n).map(|c| c.standing()) == Some(Standing::Minority)));
+        fleet.run(60 * SECOND);
+        assert!(
+            (14..20).all(|n| fleet.core(n).map(|c| c.agreed()) == Some(20)),
+            "a minority agrees on nothing"
+        );
+        (0..14).for_each(|n| fleet.start(n));
+        assert!(fleet.run_for(15 * SECOND, Fleet::agreed).is_some(), "seed {seed}: back");
+        fleet.run(2 * SECOND);
+        assert!((14..20).all(|n| fleet.core(n).map(|c| c.standing()) == Some(Standing::Majority)));
+    }
+}
+
+#[test]
+fn values_reach_all_and_are_repaired_where_news_were_lost() {
+    for seed in SEEDS {
+        let mut fleet = up(60, seed);
+        fleet.network = lossy(0.3);
+        fleet.tell(9, vec![1; 200]);
+        fleet.tell(9, vec![2; 200]);
+        let id = MemberId::of(&name(9));
+        let told = |f: &Fleet, n: usize| {
+            let record = f.core(n).and_then(|c| c.member(id)).map(|m| m.record.clone());
+            record.is_some_and(|r| r.value(Topic::Drill) == Some(&[2; 200]))
+        };
+        let all = |f: &Fleet| (0..60).filter(|n| *n != 9).all(|n| told(f, n));
+        assert!(fleet.run_for(20 * SECOND, all).is_some(), "seed {seed}");
+        // More than a member may tell is not told.
+        fleet.tell(9, vec![3; 300]);
+        fleet.run(5 * SECOND);
+        assert!(all(&fleet), "seed {seed}");
+    }
+}
+
+#[test]
+fn what_is_spoilt_on_the_way_changes_nothing() {
+    for seed in SEEDS {
+        let mut fleet = up(12, seed);
+        fleet.network = Network { spoilt: 0.2, doubled: 0.2, held_back: SECOND / 20, ..Network::default() };
+        fleet.run(60 * SECOND);
+        assert_eq!(condemned(&fleet), BTreeSet::new(), "seed {seed}");
+        assert!((0..12).all(|n| fleet.core(n).is_some_and(|c| c.fleet() == 12 && c.counts().dropped > 0)));
+    }
+}
+
+/// Two settings files of two clusters on one network.
+#[test]
+fn clusters_of_different_names_do_not_meet() {
+    let mut fleet = up(5, 1);
+    let mut other = Fleet::up(5, Settings { cluster: "other".into(), ..settings(false) }, 2);
+    other.run(2 * SECOND);
+    let mut actions = Vec::new();
+    let mut stranger = Core::new(
+        Settings { cluster: "other".into(), seeds: vec![address(0)], ..settings(false) },
+        Record { name: "x".into(), ..other.core(1).expect("it runs").own().clone() },
+        1,
+        Duration::ZERO,
+    )
+    .expect("sound settings");
+    stranger.handle(SECOND, Event::Wake, &mut actions);
+    let mut sent = 0;
+    for action in actions {
+        if let Action::Send { bytes, .. } = action {
+            fleet.inject(0, address(4), bytes);
+            sent += 1;
+        }
+    }
+    assert!(sent > 0);
+    fleet.run(3 * SECOND);
+    assert_eq!(fleet.core(0).map(|c| (c.fleet(), c.counts().dropped)), Some((5, sent)));
+}
+
+#[test]
+fn the_same_seed_is_the_same_run() {
+    let run = || {
+        let mut fleet = up(12, 5);
+        fleet.network = Network { loss: 0.2, doubled: 0.1, held_back: SECOND / 10, spoilt: 0.01 };
+        fleet.kill(3);
+        fleet.run(20 * SECOND);
+        (fleet.sent, fleet.noted)
+    };
+    assert_eq!(run(), run());
+}
+
+#[test]
+fn a_quiet_fleet_costs_the_same_at_every_size() {
+    for size in [12, 100] {
+        let cost = quiet(size, 60, 0.0, 0.0, false, 1);
+        assert!(cost.datagrams < 7.0 && cost.bytes < 1000.0, "{size}: {cost:?}");
+        assert_eq!(cost.false_verdicts, 0);
+    }
+}
