Node: membership by a [cluster] table, a place on the ring from the living, MEMBERS and LEAVE

The core of membership had no socket. A host of its own runs it on one UDP socket of the node's thread; the node's place on the ring of servers follows the members that count, by degrees, and tells the decisions through a new event (Place). Nothing turns for who is only suspected; a node that hears nobody stays where it was. Changes go to a structured log (tracing, JSON lines with the monotonic clock, through a bounded queue) that a [log] table turns on. Operators call MEMBERS and LEAVE; figures of the cluster appear with it. Without the tables nothing is opened: tests of figures and calls as before.

--- a/crates/cluster/src/news.rs
+++ b/crates/cluster/src/news.rs
@@ -26,12 +26,6 @@
         }
     }
 
-    /// Whether something is still to be told of a member.
-    #[cfg(test)]
-    pub(crate) fn has(&self, about: MemberId) -> bool {
-        self.0.iter().any(|i| i.about == about)
-    }
-
     /// Takes what fits into so many bytes, in a fleet of so many.
     pub(crate) fn take(&mut self, mut room: usize, fleet: usize, into: &mut Vec<Vec<u8>>) {
         if self.0.is_empty() {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -189,6 +189,11 @@
         self.feed(now, Event::List { kind, entries });
     }
 
+    /// Where this node stands among those that live ([`Event::Place`]).
+    pub fn place(&mut self, now: Time, begins: f64, nodes: u32) {
+        self.feed(now, Event::Place { begins, nodes });
+    }
+
     /// Does what is due by now.
     pub fn wake(&mut self, now: Time) {
         while let Some((at, due)) = self.due.first().copied().filter(|d| d.0 <= now) {
--- a/crates/figures/src/lib.rs
+++ b/crates/figures/src/lib.rs
@@ -14,12 +14,18 @@
 //! | `app_outstanding` | gauge | requests taken and not ended |
 //! | `app_discovered` | gauge | servers on the list |
 //! | `app_ejected` | gauge | listed servers that are kept out |
+//! | `app_members{state}` | gauge | with `[cluster]`: other nodes, by how this one holds them |
+//! | `app_cluster_datagrams{way}`, `app_cluster_bytes{way}` | counter | ... datagrams between nodes, `sent` and `received` |
+//! | `app_cluster_dropped` | counter | ... of these, dropped: broken, foreign, of another version |
+//! | `app_cluster_suspicions`, `app_cluster_refutations`, `app_cluster_verdicts` | counter | ... others suspected, own death refuted, others declared dead by this node |
+//! | `app_cluster_health` | gauge | ... how badly this node hears others: 0 (well) to 8 |
 //! | `app_sighup_applied`, `app_sighup_rejected` | counter | configurations read again: taken up, turned down |
 
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder};
+use std::cell::OnceCell;
 use std::rc::Rc;
 
 /// Why the figures can't be set up: a name is registered twice, or is none.
@@ -62,6 +68,84 @@
     pub reloaded: IntCounter,
     /// Configurations read again and turned down.
     pub reload_failed: IntCounter,
+    cluster: OnceCell<Cluster>,
+}
+
+/// What a node knows and counts of the others.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ClusterFigures {
+    /// Others by state: alive, suspect, dead, left.
+    pub members: [usize; 4],
+    /// Datagrams and bytes sent.
+    pub sent: [u64; 2],
+    /// Datagrams and bytes received.
+    pub received: [u64; 2],
+    /// Datagrams dropped.
+    pub dropped: u64,
+    /// Suspicions, refutations, verdicts.
+    pub told: [u64; 3],
+    /// 0 to 8.
+    pub health: u32,
+}
+
+struct Cluster {
+    members: IntGaugeVec,
+    datagrams: IntCounterVec,
+    bytes: IntCounterVec,
+    dropped: IntCounter,
+    told: [IntCounter; 3],
+    health: IntGauge,
+}
+
+/// The labels of [`ClusterFigures::members`], in their order.
+const STATES: [&str; 4] = ["alive", "suspect", "dead", "left"];
+
+impl Cluster {
+    fn new(registry: &Registry) -> Result<Self, FiguresError> {
+        fn kept<C: prometheus::core::Collector + Clone + 'static>(
+            registry: &Registry,
+            collector: Result<C, FiguresError>,
+        ) -> Result<C, FiguresError> {
+            let collector = collector?;
+            registry.register(Box::new(collector.clone())).map(|()| collector)
+        }
+        let counter = |name: &str, help: &str| kept(registry, IntCounter::new(name, help));
+        let ways =
+            |name: &str, help: &str| kept(registry, IntCounterVec::new(Opts::new(name, help), &["way"]));
+        let members = Opts::new("members", "Other nodes, by how this one holds them.");
+        Ok(Cluster {
+            members: kept(registry, IntGaugeVec::new(members, &["state"]))?,
+            datagrams: ways("cluster_datagrams", "Datagrams between nodes.")?,
+            bytes: ways("cluster_bytes", "Bytes between nodes.")?,
+            dropped: counter(
+                "cluster_dropped",
+                "Datagrams that were broken, foreign or of another version.",
+            )?,
+            told: [
+                counter("cluster_suspicions", "Times that other nodes came under suspicion.")?,
+                counter("cluster_refutations", "Times that this node refuted what others held of it.")?,
+                counter("cluster_verdicts", "Nodes that this one declared dead.")?,
+            ],
+            health: kept(
+                registry,
+                IntGauge::new("cluster_health", "How badly this node hears others, 0 to 8."),
+            )?,
+        })
+    }
+
+    fn set(&self, now: &ClusterFigures) {
+        let set = |counter: &IntCounter, value: u64| counter.inc_by(value.saturating_sub(counter.get()));
+        for (label, count) in STATES.iter().zip(now.members) {
+            self.members.with_label_values(&[label]).set(count as i64);
+        }
+        for (way, [datagrams, bytes]) in [("sent", now.sent), ("received", now.received)] {
+            set(&self.datagrams.with_label_values(&[way]), datagrams);
+            set(&self.bytes.with_label_values(&[way]), bytes);
+        }
+        set(&self.dropped, now.dropped);
+        self.told.iter().zip(now.told).for_each(|(counter, value)| set(counter, value));
+        self.health.set(now.health.into());
+    }
 }
 
 impl Figures {
@@ -95,6 +179,7 @@
             ejected: gauge("ejected", "Listed servers that are kept out.")?,
             reloaded: counter("sighup_applied", "Configurations read again and taken up.")?,
             reload_failed: counter("sighup_rejected", "Configurations read again and turned down.")?,
+            cluster: OnceCell::new(),
             registry,
         }))
     }
@@ -106,6 +191,19 @@
         }
     }
 
+    /// What is known and counted of other nodes. These figures are there from the first call on.
+    pub fn cluster(&self, now: &ClusterFigures) {
+        // Names are fixed and registered once.
+        if self.cluster.get().is_none() {
+            if let Ok(cluster) = Cluster::new(&self.registry) {
+                let _ = self.cluster.set(cluster);
+            }
+        }
+        if let Some(cluster) = self.cluster.get() {
+            cluster.set(now);
+        }
+    }
+
     /// All of them, a line each, with what they are about in comments between.
     pub fn text(&self) -> String {
         // The encoder fails on families without a name or a value; there are none.
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -237,6 +237,12 @@
         }
     }
 
+    /// Where this node stands among those that live: the part of the ring of servers at which it begins, and nodes as last
+    /// agreed.
+    pub fn place(&self, begins: f64, nodes: u32) {
+        self.with(|engine, now| engine.place(now, begins, nodes));
+    }
+
     /// Servers listed, and how many of them were taken out by hand.
     pub fn servers(&self) -> (usize, usize) {
         self.directory.borrow().count()
--- a/crates/operations/src/call.rs
+++ b/crates/operations/src/call.rs
@@ -10,6 +10,10 @@
     Status,
     /// The figures.
     Figures,
+    /// The fleet's nodes, as this one holds them.
+    Members,
+    /// Say farewell to the fleet's nodes.
+    Leave,
     /// Take this server out.
     Suspend(String),
     /// Use this server again.
@@ -26,7 +30,7 @@
     #[error("the call is longer than {LONGEST} bytes")]
     TooLong,
     /// Its first word is none of those known.
-    #[error("unknown call; wanted: STATUS, METRICS, SUSPEND ID or RESTORE ID")]
+    #[error("unknown call; wanted: STATUS, METRICS, MEMBERS, LEAVE, SUSPEND ID or RESTORE ID")]
     Unknown,
     /// It is about a server and names none, or has a word too many.
     #[error("{0} wants {1}")]
@@ -51,6 +55,8 @@
         match call {
             "STATUS" => alone("STATUS", Call::Status),
             "METRICS" => alone("METRICS", Call::Figures),
+            "MEMBERS" => alone("MEMBERS", Call::Members),
+            "LEAVE" => alone("LEAVE", Call::Leave),
             "SUSPEND" => about("SUSPEND", Call::Suspend),
             "RESTORE" => about("RESTORE", Call::Restore),
             _ => Err(CallError::Unknown),
@@ -70,6 +76,9 @@
         assert_eq!(parse("METRICS\r\n"), Ok(Call::Figures));
         assert_eq!(parse("  SUSPEND\t s-1 \n"), Ok(Call::Suspend("s-1".to_owned())));
         assert_eq!(parse("RESTORE s-1"), Ok(Call::Restore("s-1".to_owned())));
+        assert_eq!(parse("MEMBERS"), Ok(Call::Members));
+        assert_eq!(parse("LEAVE"), Ok(Call::Leave));
+        assert_eq!(parse("LEAVE now"), Err(CallError::Words("LEAVE", "nothing more")));
         assert_eq!(parse("STATUS now"), Err(CallError::Words("STATUS", "nothing more")));
         assert_eq!(parse("SUSPEND"), Err(CallError::Words("SUSPEND", "the id of one server")));
         assert_eq!(parse("SUSPEND a b"), Err(CallError::Words("SUSPEND", "the id of one server")));
--- a/crates/operations/src/desk.rs
+++ b/crates/operations/src/desk.rs
@@ -26,6 +26,10 @@
     fn status(&self) -> Result<String, String>;
     /// The figures as they are now, many lines.
     fn figures(&self) -> String;
+    /// The fleet's nodes as this one holds them, a line each; or why there are none.
+    fn members(&self) -> Result<String, String>;
+    /// Says farewell to the fleet's nodes. The node goes on serving.
+    fn leave(&self) -> Result<String, String>;
     /// Takes a server out, or uses it again. A yes is binding from then on.
     fn set_out(&self, server: &str, out: bool) -> Result<String, String>;
 }
@@ -67,6 +71,11 @@
     match call {
         Call::Status => told(node.status()),
         Call::Figures => node.figures() + "EOT\n",
+        Call::Members => match node.members() {
+            Ok(lines) => lines + "EOT\n",
+            error => told(error),
+        },
+        Call::Leave => told(node.leave()),
         Call::Suspend(server) => told(node.set_out(&server, true)),
         Call::Restore(server) => told(node.set_out(&server, false)),
     }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,6 +5,8 @@
 
 mod config;
 mod lists;
+mod log;
+mod members;
 mod operations;
 mod operator;
 mod thrift;
@@ -43,7 +45,10 @@
         match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
             [] => {}
             ["check"] => {
-                println!("fine: {} Thrift listeners", config.operator.thrift.len());
+                let cluster =
+                    config.operator.cluster.as_ref().map(|c| format!(", cluster {}", c.settings.cluster));
+                let listeners = config.operator.thrift.len();
+                println!("fine: {listeners} Thrift listeners{}", cluster.unwrap_or_default());
                 return Ok(());
             }
             _ => return Err("wanted: no argument, or `check`".into()),
@@ -61,6 +66,7 @@
 }
 
 async fn run(config: Config) -> Result<(), Box<dyn Error>> {
+    let _log = config.operator.log.as_ref().map(log::start).transpose()?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     // Without a handler SIGHUP ends the process; with one it is borne to the very end.
@@ -100,7 +106,10 @@
     };
     host.log(format_args!("listening on {}", listener.local_addr()?));
     let (phase, phases) = watch::channel(Phase::Serving);
-    let desk = operations::Desk::open(config.ops, config.state, &host, &figures, phases.clone())?;
+    let cluster = config.operator.cluster.as_ref();
+    let cluster = cluster.map(|c| members::open(c, &config.name, config.seed)).transpose()?;
+    let desk =
+        operations::Desk::open(config.ops, config.state, &host, &figures, phases.clone(), cluster.clone())?;
     let discovery = lists::follow(&host, config.discovery, config.known.as_ref(), asked);
     let reloading = host.clone();
     spawn_local(async move {
@@ -123,6 +132,11 @@
     let started = config.operator.thrift.into_iter().enumerate();
     let started = started.map(|(n, compiled)| thrift::Running::start(compiled, n, &shared));
     let mut listeners = started.collect::<Result<Vec<_>, _>>()?;
+    if let Some(cluster) = &cluster {
+        let mut placed: Vec<Rc<dyn members::Placed>> = vec![host.clone()];
+        placed.extend(listeners.iter().map(|l| l.host().clone() as Rc<dyn members::Placed>));
+        members::run(cluster, &host, placed);
+    }
     if let Some(desk) = desk {
         listeners.iter().for_each(|l| desk.add(l.host().clone()));
         desk.serve()?;
@@ -150,6 +164,9 @@
         _ = interrupt.recv() => {}
     }
     host.log(format_args!("leaving"));
+    if let Some(cluster) = &cluster {
+        cluster.leave();
+    }
     phase.send_replace(Phase::Leaving);
     tokio::time::sleep(LEAVE).await;
     phase.send_replace(Phase::Closing);
--- a/node/src/operations.rs
+++ b/node/src/operations.rs
@@ -1,5 +1,6 @@
 //! What operators' calls come to: the node's state in one line, its figures, and servers taken out by hand on all fronts.
 
+use birchswitch_cluster_host::Cluster;
 use birchswitch_figures::Figures;
 use birchswitch_host::{Host, Upstream};
 use birchswitch_http::{HttpUpstream, Phase};
@@ -41,6 +42,7 @@
     bans: RefCell<Bans>,
     figures: Rc<Figures>,
     phase: watch::Receiver<Phase>,
+    pub(crate) cluster: Option<Rc<Cluster>>,
 }
 
 impl Desk {
@@ -52,6 +54,7 @@
         host: &Rc<Host<HttpUpstream>>,
         figures: &Rc<Figures>,
         phase: watch::Receiver<Phase>,
+        cluster: Option<Rc<Cluster>>,
     ) -> Result<Option<Rc<Self>>, Box<dyn Error>> {
         let Some(address) = address else { return Ok(None) };
         let folder = state.map(|state| state.join("birchswitch").join("bans"));
@@ -63,6 +66,7 @@
             bans: RefCell::new(bans),
             figures: figures.clone(),
             phase,
+            cluster,
         };
         desk.add(host.clone());
         Ok(Some(Rc::new(desk)))
@@ -116,9 +120,21 @@
         let (listed, out) = self.host.servers();
         self.figures.discovered.set(listed as i64);
         self.figures.ejected.set(out as i64);
+        self.cluster.iter().for_each(|c| self.figures.cluster(&crate::members::figures(c)));
         self.figures.text()
     }
 
+    fn members(&self) -> Result<String, String> {
+        self.cluster().map(|c| c.text())
+    }
+
+    fn leave(&self) -> Result<String, String> {
+        match self.cluster()?.leave() {
+            true => Ok("left".to_owned()),
+            false => Err("this node is no member any more".to_owned()),
+        }
+    }
+
     fn set_out(&self, server: &str, out: bool) -> Result<String, String> {
         let listed = self.followers.borrow().iter().any(|f| f.knows(server));
         let mut bans = self.bans.borrow_mut();
--- a/node/src/operator.rs
+++ b/node/src/operator.rs
@@ -1,8 +1,10 @@
 //! The operator's own file, beside what the platform tells: TOML, named by `GW_OPERATOR`. Without one, nothing of it is on.
 
+use birchswitch_cluster_host::{Compiled as Member, Table, Wrong};
 use birchswitch_thrift_proxy::{Compiled, Settings, SettingsError};
 use serde::Deserialize;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// Why the operator's file can't be used. One line each.
 #[derive(Debug, thiserror::Error)]
@@ -62,6 +64,35 @@
 struct File {
     #[serde(default)]
     thrift: Vec<Settings>,
+    cluster: Option<Table>,
+    log: Option<Log>,
+}
+
+/// The structured log.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Log {
+    /// Where its lines go.
+    pub json: Sink,
+}
+
+/// Where lines go.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(from = "String")]
+pub enum Sink {
+    /// Standard error, beside the lines of text.
+    Standard,
+    /// This file, at its end.
+    File(PathBuf),
+}
+
+impl From<String> for Sink {
+    fn from(text: String) -> Self {
+        match text.as_str() {
+            "stderr" => Sink::Standard,
+            _ => Sink::File(text.into()),
+        }
+    }
 }
 
 /// What the operator wants, checked.
@@ -69,6 +100,10 @@
 pub struct Operator {
     /// Thrift listeners.
     pub thrift: Vec<Compiled>,
+    /// Membership among the nodes.
+    pub cluster: Option<Member>,
+    /// The structured log.
+    pub log: Option<Log>,
 }
 
 /// What the process may hold.
@@ -79,6 +114,14 @@
     pub memory: usize,
 }
 
+/// An error at a byte of the file.
+fn at(path: &str, text: &str, byte: usize, problem: String) -> OperatorError {
+    let before = text.get(..byte).unwrap_or_default();
+    let line = before.matches('\n').count() + 1;
+    let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
+    OperatorError::Toml { path: path.to_owned(), line, column, problem }
+}
+
 /// Buffers of one connection, either side, beside its messages.
 const CONNECTION_MEMORY: usize = 16 << 10;
 
@@ -96,12 +139,10 @@
         let text = std::fs::read_to_string(path)
             .map_err(|source| OperatorError::Unreadable { path: own(), source })?;
         let file: File = toml::from_str(&text).map_err(|error| {
-            let before = text.get(..error.span().map_or(0, |s| s.start)).unwrap_or_default();
-            let line = before.matches('\n').count() + 1;
-            let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
-            let problem = error.message().replace('\n', " ");
-            OperatorError::Toml { path: own(), line, column, problem }
+            at(path, &text, error.span().map_or(0, |s| s.start), error.message().replace('\n', " "))
         })?;
+        let cluster = file.cluster.map(Table::compile).transpose();
+        let cluster = cluster.map_err(|Wrong { span, problem }| at(path, &text, span.start, problem))?;
         let mut addresses = vec![listen];
         let mut thrift = Vec::new();
         for settings in file.thrift {
@@ -113,7 +154,7 @@
             let compiled = settings.compile(site, names);
             thrift.push(compiled.map_err(|source| OperatorError::Thrift { path: own(), source })?);
         }
-        let operator = Operator { thrift };
+        let operator = Operator { thrift, cluster, log: file.log };
         let taken = operator.taken();
         for (what, wanted, left) in [
             ("descriptors", taken.sockets, budget.sockets / 2),
@@ -128,7 +169,9 @@
 
     /// What the listeners may hold at most.
     pub fn taken(&self) -> Budget {
-        self.thrift.iter().fold(Budget { sockets: 0, memory: 0 }, |sum, compiled| {
+        // A member's socket, and a file of its own for the log.
+        let others = usize::from(self.cluster.is_some()) + usize::from(self.log.is_some());
+        self.thrift.iter().fold(Budget { sockets: others, memory: 0 }, |sum, compiled| {
             let s = &compiled.settings;
             let connections = (s.connections + s.servers.connections) as usize;
             // A message is read whole before room is found for its call.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -405,6 +405,14 @@
     },
     /// A probe ended.
     Probed(Probed),
+    /// Where this node stands among those that live, in place of [`Settings::me`]; not before a list came.
+    Place {
+        /// The part of the ring of servers at which it begins, from 0 to 1.
+        begins: f64,
+        /// Nodes of the fleet as last agreed. More than [`Settings::nodes`] make this node's part of a server smaller; fewer
+        /// change nothing.
+        nodes: u32,
+    },
 }
 
 /// What the balancer wants done, in this order.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -104,6 +104,7 @@
                     probes::choose(self, now, c.0, actions);
                 }
             }
+            Event::Place { begins, nodes } => self.place(begins, nodes),
             Event::Probed(probed) => probes::probed(self, now, &probed, actions),
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -388,6 +388,22 @@
         self.index = self.servers.iter().enumerate().map(|(i, s)| (s.id, i)).collect();
         self.ready =
             (0..self.servers.len()).filter(|&i| self.servers[i].state == ServerState::Ready).collect();
+        self.turn();
+    }
+
+    /// Takes up another place on the ring, in a fleet of so many nodes: of these none counts for more than it was told.
+    pub(crate) fn place(&mut self, begins: f64, nodes: u32) {
+        self.part = self.part.min(1.0 / f64::from(nodes.max(1)));
+        let before = self.ready.first().copied();
+        self.begins = begins.clamp(0.0, 1.0);
+        self.turn();
+        if self.ready.first().copied() != before {
+            self.solved = None;
+        }
+    }
+
+    /// Puts the ready servers in the ring's order, from where this node begins.
+    fn turn(&mut self) {
         self.ready.sort_by_key(|&i| (self.servers[i].rank, self.servers[i].id));
         let first = (self.begins * self.ready.len() as f64) as usize;
         let first = first.min(self.ready.len());
