--- a/crates/cluster-host/src/lib.rs
+++ b/crates/cluster-host/src/lib.rs
@@ -98,7 +98,7 @@
         }
         let seed = who.seed ^ u64::from(draw) << 32;
         let core = Core::new(compiled.settings.clone(), record, seed, Duration::ZERO)?;
-        tracing::info!(target: "cluster", kind = "listening", address = %local, member = name);
+        tracing::info!(target: "cluster", kind = "listening", address = %local, member = name, draw);
         Ok(Rc::new(Cluster {
             core: RefCell::new(core),
             socket,
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -371,6 +371,8 @@
 
     async fn carry_out(&mut self, deed: &Deed, chance: &mut Chance) -> Result<(), FleetError> {
         match *deed {
+            // The rig's: whoever reads scripts for this fleet turns them down.
+            Deed::Nodes(..) | Deed::Wire(_) => {}
             Deed::RegistrySilent(length) => self.registry.silence(length),
             Deed::Node(n, fault) => {
                 let node = &mut self.nodes[n];
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod fleet;
 pub mod process;
 pub mod registry;
+pub mod rig;
 pub mod script;
 pub mod scripted;
 pub mod server;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -6,7 +6,8 @@
 use birchswitch_standin::cost::{self, Way};
 use birchswitch_standin::fleet::{self, Plan, Report};
 use birchswitch_standin::process;
-use birchswitch_standin::script::Script;
+use birchswitch_standin::rig::cases::{self, CASES};
+use birchswitch_standin::script::{Deed, Script};
 use birchswitch_thrift::Protocol;
 use clap::{Args, Parser, Subcommand};
 use std::error::Error;
@@ -26,10 +27,33 @@
 enum Play {
     /// A launch minute: a freeze, a deploy with cold successors and a death, and a table of what came of it.
     Demo(Demo),
+    /// Many processes with a wire in user space between them: the hard cases of membership, and a table of what came of them
+    Rig(RigArguments),
     /// What a request costs a node over HTTP and Thrift: CPU time, latency, memory, and their ratios
     Cost(Cost),
 }
 
+#[derive(Args)]
+struct RigArguments {
+    /// Cases to play, as `--list` names them; all where none is named
+    cases: Vec<String>,
+    /// Name the cases and their scripts, and play none
+    #[arg(long)]
+    list: bool,
+    /// The seed
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Runs of each case, with seeds one after the other
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1000))]
+    runs: u64,
+    /// Write each run's events, one JSON line each, to a file of its name in this folder
+    #[arg(long)]
+    keep: Option<PathBuf>,
+    /// A node's program to run in place of this workspace's own
+    #[arg(long)]
+    node: Option<PathBuf>,
+}
+
 #[derive(Args)]
 struct Cost {
     /// Rounds; a figure is the median of them
@@ -91,6 +115,7 @@
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
         Play::Demo(demo) => run(demo).map(|book| book.faults().is_empty()),
+        Play::Rig(arguments) => rig(&arguments),
         Play::Cost(cost) => measure(cost).map(|()| true),
     };
     match done {
@@ -113,6 +138,9 @@
         None => Script::parse(LAUNCH, servers, nodes)
             .map_err(|e| format!("the launch minute wants at least 10 servers: {e}"))?,
     };
+    if let Some(entry) = script.entries.iter().find(|e| matches!(e.deed, Deed::Nodes(..) | Deed::Wire(_))) {
+        return Err(format!("`{}` wants `birchswitch-standin rig`", entry.deed).into());
+    }
     script.seed = demo.seed.unwrap_or(script.seed);
     let binary = match demo.node {
         Some(path) => path,
@@ -143,6 +171,57 @@
     Ok(book)
 }
 
+fn rig(arguments: &RigArguments) -> Result<bool, Box<dyn Error>> {
+    let unknown = arguments.cases.iter().find(|name| !CASES.iter().any(|c| c.name == *name));
+    if let Some(name) = unknown {
+        return Err(format!("no case is called {name:?}: `rig --list` names them").into());
+    }
+    let chosen =
+        CASES.iter().filter(|c| arguments.cases.is_empty() || arguments.cases.iter().any(|n| n == c.name));
+    if arguments.list {
+        for case in chosen {
+            println!("{}: {} nodes", case.name, case.nodes[0]);
+            case.script.lines().for_each(|l| println!("    {l}"));
+        }
+        return Ok(true);
+    }
+    let binary = match &arguments.node {
+        Some(path) => path.clone(),
+        None => build_node()?,
+    };
+    println!(
+        "{:<16}{:>6}{:>9}{:>12}{:>12}{:>10}{:>13}",
+        "case", "seed", "one, s", "known, s", "last, s", "verdicts", "datagrams/s"
+    );
+    let mut sound = true;
+    for case in chosen {
+        for seed in arguments.seed..arguments.seed + arguments.runs {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+            let played = cases::play(case, binary.clone(), seed, |_| {});
+            let outcome = tokio::task::LocalSet::new().block_on(&runtime, played)?;
+            println!("{:<16}{seed:>6}{outcome}", case.name);
+            if let Some(folder) = &arguments.keep {
+                std::fs::create_dir_all(folder)?;
+                let lines =
+                    outcome.history.lines.iter().map(|l| {
+                        serde_json::json!({"place": l.place, "fields": l.fields}).to_string() + "\n"
+                    });
+                std::fs::write(
+                    folder.join(format!("{}-{seed}.jsonl", case.name)),
+                    lines.collect::<String>(),
+                )?;
+            }
+            if !outcome.wrong.is_empty() {
+                sound = false;
+                println!("    seed {seed}, script:");
+                case.script.lines().for_each(|l| println!("        {}", l.trim()));
+                outcome.wrong.iter().for_each(|w| println!("    WRONG: {w}"));
+            }
+        }
+    }
+    Ok(sound)
+}
+
 fn measure(arguments: Cost) -> Result<(), Box<dyn Error>> {
     let binary = match arguments.node {
         Some(path) => path,
--- /dev/null
+++ b/crates/standin/src/rig/cases.rs
@@ -0,0 +1,225 @@
+//! The hard cases of membership, each a script for the rig and what must hold of its history.
+
+use super::checker::Checker;
+use super::history::{now, History};
+use super::{Plan, Rig, RigError};
+use crate::script::{Entry, Script, ScriptError};
+use std::fmt;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Within which all know of a death. In virtual time it is 5.1 s at 20% loss; processes share their cores with others.
+const KNOWN: Duration = Duration::from_secs(12);
+/// Within which there is one membership again. Asserted at 5 s in virtual time.
+const AGREED: Duration = Duration::from_secs(20);
+
+/// What more must hold than every case's claims.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Holds {
+    /// Nobody is declared dead by anyone.
+    NoVerdict,
+    /// Nobody but these places, in a row.
+    VerdictsOnlyOn(usize, usize),
+    /// These places, in a row, declare nobody dead.
+    NoVerdictBy(usize, usize),
+    /// The process at that place wrote a line of this kind.
+    Wrote(usize, &'static str),
+    /// All of the case's nodes wrote no line of this kind.
+    NobodyWrote(&'static str),
+    /// No process declared one member dead more often than this.
+    VerdictsAtMost(usize),
+    /// Places on the ring are even, within so many per cent of the mean, once they have settled.
+    Even(u32),
+}
+
+/// A case.
+pub struct Case {
+    /// How it is called.
+    pub name: &'static str,
+    /// Nodes, and places beside them.
+    pub nodes: [usize; 2],
+    /// Its script; the seed is the run's.
+    pub script: &'static str,
+    /// What more must hold.
+    pub holds: &'static [Holds],
+}
+
+use Holds::*;
+
+/// All cases. The short ones run in CI.
+pub const CASES: &[Case] = &[
+    Case { name: "kill", nodes: [12, 0], script: "1s n5 die\n14s n5 start", holds: &[VerdictsOnlyOn(5, 5), Even(15)] },
+    Case { name: "kill-lossy", nodes: [12, 0], script: "0s wire lose 0.2\n1s n5 die\n15s wire lose 0", holds: &[VerdictsOnlyOn(5, 5)] },
+    Case { name: "pause-2s", nodes: [12, 0], script: "1s n3 pause 2s\n6s n3 pause 2s", holds: &[NoVerdict] },
+    Case { name: "pause-20s", nodes: [12, 0], script: "1s n3 pause 20s", holds: &[VerdictsOnlyOn(3, 3), NoVerdictBy(3, 3), Wrote(3, "held_up")] },
+    Case { name: "stutter", nodes: [12, 0], script: "0s wire lose 0.1\n1s n2-n4 stutter 400ms for 60s\n62s wire lose 0", holds: &[NoVerdict] },
+    Case { name: "stutter-short", nodes: [12, 0], script: "0s wire lose 0.1\n1s n2-n4 stutter 400ms for 9s\n11s wire lose 0", holds: &[NoVerdict] },
+    Case { name: "one-way", nodes: [12, 0], script: "1s wire cut n1 n0\n16s wire heal", holds: &[NoVerdict] },
+    Case {
+        name: "deaf",
+        nodes: [12, 0],
+        script: "1s wire cut nodes n4\n16s wire heal",
+        holds: &[VerdictsOnlyOn(4, 4), NoVerdictBy(4, 4), Wrote(4, "cut_off"), Wrote(4, "hears")],
+    },
+    Case {
+        name: "zone-unheard",
+        nodes: [12, 0],
+        script: "1s wire cut zone:0 zone:1\n1s wire cut zone:0 zone:2\n1s wire cut zone:0 zone:3\n21s wire heal",
+        holds: &[VerdictsOnlyOn(0, 2), NoVerdictBy(0, 2)],
+    },
+    Case { name: "halves", nodes: [12, 0], script: "1s wire split n0-n5 n6-n11\n21s wire heal", holds: &[VerdictsAtMost(1)] },
+    Case {
+        name: "thirds",
+        nodes: [12, 0],
+        script: "1s wire split n0-n3 n4-n11\n1s wire split n4-n7 n8-n11\n21s wire heal",
+        holds: &[VerdictsAtMost(1)],
+    },
+    Case {
+        name: "flapping",
+        nodes: [12, 0],
+        script: "0s wire split n0-n3 n4-n11\n3s wire heal\n6s wire split n0-n3 n4-n11\n9s wire heal\n12s wire split n0-n3 n4-n11\n\
+                 15s wire heal\n18s wire split n0-n3 n4-n11\n21s wire heal\n24s wire split n0-n3 n4-n11\n27s wire heal\n\
+                 30s wire split n0-n3 n4-n11\n33s wire heal\n36s wire split n0-n3 n4-n11\n39s wire heal\n\
+                 42s wire split n0-n3 n4-n11\n45s wire heal\n48s wire split n0-n3 n4-n11\n51s wire heal\n\
+                 54s wire split n0-n3 n4-n11\n57s wire heal",
+        holds: &[VerdictsAtMost(10)],
+    },
+    Case {
+        name: "quick-restart",
+        nodes: [12, 0],
+        script: "0s wire delay 2s\n0s wire double 0.3\n1s n7 die\n1300ms n7 start\n8s n7 die\n12s n7 start\n18s wire delay 0s\n18s wire double 0",
+        holds: &[VerdictsOnlyOn(7, 7)],
+    },
+    Case { name: "all-restart", nodes: [12, 0], script: "1s nodes die\n1s nodes start", holds: &[NoVerdict] },
+    Case {
+        name: "twins",
+        nodes: [12, 1],
+        script: "1s n5 twin\n9s wire lose 0",
+        holds: &[NoVerdict, Wrote(5, "yielded"), Wrote(12, "twin"), NobodyWrote("suspected")],
+    },
+    Case { name: "spoilt", nodes: [12, 0], script: "0s wire spoil 0.1\n0s wire shorten 0.1\n20s wire spoil 0\n20s wire shorten 0", holds: &[NoVerdict] },
+    Case { name: "seven-in-ten", nodes: [20, 0], script: "1s nodes:0.7 die\n25s wire lose 0", holds: &[Even(15)] },
+    Case { name: "tenth-at-a-time", nodes: [20, 0], script: "1s n0-n1 end\n1s n0-n1 start\n4s n2-n3 end\n4s n2-n3 start\n7s n4-n5 end\n7s n4-n5 start\n10s n6-n7 end\n10s n6-n7 start", holds: &[NoVerdict, Even(15)] },
+];
+
+/// What a case came to.
+pub struct Outcome {
+    /// What did not hold.
+    pub wrong: Vec<String>,
+    /// From the script's end until there was one membership.
+    pub agreed: Option<Duration>,
+    /// From deaths to each survivor's knowledge of them.
+    pub detections: Vec<Duration>,
+    /// Verdicts reached.
+    pub verdicts: usize,
+    /// Datagrams a second that a node sent.
+    pub datagrams: f64,
+    /// All of it.
+    pub history: History,
+}
+
+/// Why a case could not be judged.
+#[derive(Debug, thiserror::Error)]
+pub enum CaseError {
+    /// Its script can't be read.
+    #[error("script, {0}")]
+    Script(#[from] ScriptError),
+    /// The rig failed.
+    #[error(transparent)]
+    Rig(#[from] RigError),
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let seconds = |d: Option<&Duration>| d.map_or("-".to_owned(), |d| format!("{:.1}", d.as_secs_f64()));
+        let mut known = self.detections.clone();
+        known.sort();
+        write!(
+            f,
+            "{:>9}{:>12}{:>12}{:>10}{:>13.1}",
+            seconds(self.agreed.as_ref()),
+            seconds(known.get(known.len() / 2)),
+            seconds(known.last()),
+            self.verdicts,
+            self.datagrams
+        )
+    }
+}
+
+/// Plays a case to its end and judges it.
+pub async fn play(
+    case: &Case,
+    binary: PathBuf,
+    seed: u64,
+    report: impl FnMut(&Entry),
+) -> Result<Outcome, CaseError> {
+    let [nodes, spare] = case.nodes;
+    let mut script = Script::parse(case.script, 0, nodes)?;
+    script.seed = seed;
+    let plan = Plan { binary, nodes, spare, zones: 4, cluster: String::new(), script };
+    let mut rig = Rig::start(plan).await?;
+    rig.agreed(Duration::from_secs(60)).await?;
+    let (began, before) = (now(), rig.wire().passed().sent[0]);
+    rig.play(report).await?;
+    let mut wrong = Vec::new();
+    let agreed = rig.agreed(AGREED).await;
+    if let Err(error) = &agreed {
+        wrong.push(error.to_string());
+    }
+    for holds in case.holds {
+        if let Even(percent) = holds {
+            let most = 1.0 + f64::from(*percent) / 100.0;
+            let uneven = |h: &History| Checker::new(h, now()).unevenness();
+            let settled = |h: &History| uneven(h).is_some_and(|u| u <= most);
+            let last = |h: &History| format!("{:?} of the mean", uneven(h));
+            if let Err(error) = rig.until("an even ring", AGREED, settled, last).await {
+                wrong.push(error.to_string());
+            }
+        }
+    }
+    let (end, sent) = (now(), rig.wire().passed().sent[0] - before);
+    let history = rig.history();
+    rig.close().await?;
+    let checker = Checker::new(&history, end);
+    wrong.extend(checker.false_verdicts());
+    wrong.extend(checker.unnoticed(KNOWN));
+    wrong.extend(checker.incarnations_back());
+    let verdicts: Vec<_> = history.lines.iter().filter(|l| l.kind == "verdict").collect();
+    for holds in case.holds {
+        let row = |a: usize, b: usize| (a..=b).map(|n| format!("n{n}")).collect::<Vec<_>>();
+        let found = match *holds {
+            Even(_) => None,
+            NoVerdict => (!verdicts.is_empty()).then(|| format!("{} verdicts, none wanted", verdicts.len())),
+            VerdictsOnlyOn(a, b) => {
+                let other = verdicts.iter().find(|l| !row(a, b).contains(&l.text("member").to_owned()));
+                other.map(|l| format!("a verdict on {}", l.text("member")))
+            }
+            NoVerdictBy(a, b) => {
+                let by = verdicts.iter().find(|l| (a..=b).contains(&l.place));
+                by.map(|l| format!("n{} declared {} dead", l.place, l.text("member")))
+            }
+            Wrote(place, kind) => {
+                (checker.wrote(place, kind) == 0).then(|| format!("place {place} wrote no {kind:?}"))
+            }
+            NobodyWrote(kind) => {
+                let line = history.lines.iter().find(|l| l.kind == kind);
+                line.map(|l| format!("n{} wrote {kind:?} of {}", l.place, l.text("member")))
+            }
+            VerdictsAtMost(most) => {
+                let found = checker.most_verdicts();
+                (found > most)
+                    .then(|| format!("{found} verdicts by one process on one member, {most} are fine"))
+            }
+        };
+        wrong.extend(found);
+    }
+    let span = (end - began) as f64 / 1e9;
+    Ok(Outcome {
+        wrong,
+        agreed: agreed.ok(),
+        detections: checker.detections(),
+        verdicts: verdicts.len(),
+        datagrams: sent as f64 / span / nodes as f64,
+        history,
+    })
+}
--- /dev/null
+++ b/crates/standin/src/rig/checker.rs
@@ -0,0 +1,393 @@
+//! Judges a [`History`] by what membership claims. It knows what the rig did and what processes wrote, and takes no process's
+//! word on another for true.
+
+use super::history::{Did, History, Line, Nanos};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Nobody is to be declared dead who was out of reach for less than this.
+const BORNE: Duration = Duration::from_secs(2);
+/// How finely spans are looked through.
+const LOOK: u64 = 50_000_000;
+
+/// One process of a history.
+#[derive(Clone, Debug)]
+struct Process {
+    place: usize,
+    name: String,
+    started: Nanos,
+    /// When it went; without a word if it was killed.
+    ended: Option<(Nanos, bool)>,
+    /// From when to when it was stopped.
+    stopped: Vec<(Nanos, Nanos)>,
+    /// How its lives are told apart, by its own first line.
+    draw: Option<u64>,
+}
+
+impl Process {
+    fn runs(&self, at: Nanos) -> bool {
+        let ended = self.ended.is_some_and(|(e, _)| at >= e);
+        at >= self.started && !ended && !self.stopped.iter().any(|(from, to)| (*from..*to).contains(&at))
+    }
+
+    /// Runs all that time, never stopped.
+    fn runs_through(&self, from: Nanos, to: Nanos) -> bool {
+        self.started <= from
+            && self.ended.is_none_or(|(e, _)| e > to)
+            && !self.stopped.iter().any(|(a, b)| *a <= to && *b >= from)
+    }
+}
+
+/// A history, read.
+pub struct Checker<'a> {
+    history: &'a History,
+    processes: Vec<Process>,
+    cuts: Vec<(Nanos, BTreeSet<(usize, usize)>)>,
+    end: Nanos,
+}
+
+impl<'a> Checker<'a> {
+    /// Reads a history up to its end.
+    pub fn new(history: &'a History, end: Nanos) -> Self {
+        let mut processes: Vec<Process> = Vec::new();
+        let mut cuts = vec![(0, BTreeSet::new())];
+        let mut starts: BTreeMap<usize, usize> = BTreeMap::new();
+        for (at, did) in &history.did {
+            let last = |place: &usize, all: &mut Vec<Process>| all.iter().rposition(|p| p.place == *place);
+            match did {
+                Did::Started(place, name) => {
+                    let start = starts.entry(*place).or_default();
+                    let own = history
+                        .lines
+                        .iter()
+                        .find(|l| l.kind == "listening" && (l.place, l.start) == (*place, *start));
+                    *start += 1;
+                    processes.push(Process {
+                        place: *place,
+                        name: name.clone(),
+                        started: *at,
+                        ended: None,
+                        stopped: Vec::new(),
+                        draw: own.map(|l| l.number("draw")),
+                    });
+                }
+                Did::Ended(place, silent) => {
+                    if let Some(n) = last(place, &mut processes) {
+                        processes[n].ended = Some((*at, *silent));
+                    }
+                }
+                Did::Stopped(place) => {
+                    if let Some(n) = last(place, &mut processes) {
+                        processes[n].stopped.push((*at, Nanos::MAX));
+                    }
+                }
+                Did::Resumed(place) => {
+                    if let Some(n) = last(place, &mut processes) {
+                        processes[n].stopped.iter_mut().for_each(|s| s.1 = s.1.min(*at));
+                    }
+                }
+                Did::Cut(pairs) => cuts.push((*at, pairs.clone())),
+            }
+        }
+        Checker { history, processes, cuts, end }
+    }
+
+    fn cut(&self, at: Nanos) -> &BTreeSet<(usize, usize)> {
+        let n = self.cuts.partition_point(|c| c.0 <= at).max(1) - 1;
+        &self.cuts[n].1
+    }
+
+    /// Whether a question from one place and its answer can pass at that time, at once or through a third that runs.
+    fn road(&self, from: usize, to: usize, at: Nanos) -> bool {
+        let cut = self.cut(at);
+        let passes = |a, b| !cut.contains(&(a, b));
+        let both = |a, b| passes(a, b) && passes(b, a);
+        let third = |p: &Process| {
+            p.place != from && p.place != to && p.runs(at) && both(from, p.place) && both(p.place, to)
+        };
+        both(from, to) || self.processes.iter().any(third)
+    }
+
+    /// The process that wrote a line.
+    fn writer(&self, line: &Line) -> Option<&Process> {
+        self.processes.iter().filter(|p| p.place == line.place).nth(line.start)
+    }
+
+    /// What a process wrote.
+    fn lines_of<'b>(&'b self, p: &'b Process) -> impl Iterator<Item = &'b Line> + 'b {
+        let here = self.processes.iter().filter(|o| o.place == p.place);
+        let start = here.take_while(|o| !std::ptr::eq(*o, p)).count();
+        self.history.lines.iter().filter(move |l| (l.place, l.start) == (p.place, start))
+    }
+
+    /// Verdicts on members that ran and could be reached within the last 2 s.
+    pub fn false_verdicts(&self) -> Vec<String> {
+        let mut wrong = Vec::new();
+        for line in self.history.lines.iter().filter(|l| l.kind == "verdict") {
+            let (Some(by), Some(on)) =
+                (self.writer(line), self.processes.iter().find(|p| p.draw == Some(line.number("draw"))))
+            else {
+                wrong.push(format!("a verdict on {:?}, whom the rig never started", line.text("member")));
+                continue;
+            };
+            let reached = |at: Nanos| on.runs(at) && self.road(by.place, on.place, at);
+            let span = BORNE.as_nanos() as u64;
+            // The last moment is left out: a fault that ended just now was there.
+            let mut at = line.at.saturating_sub(span);
+            while at + 4 * LOOK < line.at {
+                if reached(at) {
+                    let ms = (line.at - at) / 1_000_000;
+                    wrong.push(format!(
+                        "n{} declared {} at place {} dead, which ran and had a road to it {ms} ms before",
+                        by.place, on.name, on.place
+                    ));
+                    break;
+                }
+                at += LOOK;
+            }
+        }
+        wrong
+    }
+
+    /// Deaths without a word that some did not know of within the bound, though they ran all the while and nothing was cut.
+    pub fn unnoticed(&self, bound: Duration) -> Vec<String> {
+        let mut wrong = Vec::new();
+        for (dead, killed, until, by, took) in self.deaths() {
+            match took {
+                Some(took) if took <= bound => {}
+                _ if until < killed + bound.as_nanos() as u64 => {}
+                took => wrong.push(format!(
+                    "n{by} learnt of {}'s death after {took:?}, not within {bound:?}",
+                    self.processes[dead].name
+                )),
+            }
+        }
+        wrong
+    }
+
+    /// Times from each death to each survivor's knowledge of it.
+    pub fn detections(&self) -> Vec<Duration> {
+        self.deaths().into_iter().filter_map(|d| d.4).collect()
+    }
+
+    /// Each death, with each that ran from then on for 30 s or to the end, and how long it took to know.
+    fn deaths(&self) -> Vec<(usize, Nanos, Nanos, usize, Option<Duration>)> {
+        let mut all = Vec::new();
+        for (n, dead) in self.processes.iter().enumerate() {
+            let Some((killed, true)) = dead.ended else { continue };
+            let until = (killed + 30_000_000_000).min(self.end);
+            let again =
+                self.processes.iter().any(|p| p.name == dead.name && (killed..until).contains(&p.started));
+            let cut =
+                self.cuts.iter().any(|c| !c.1.is_empty() && c.0 <= until) && !self.cut(killed).is_empty();
+            if again || cut {
+                continue;
+            }
+            for by in self.processes.iter().filter(|p| p.place != dead.place && p.runs_through(killed, until))
+            {
+                let knows = |l: &&Line| {
+                    let of = l.at >= killed && matches!(l.kind.as_str(), "verdict" | "dead");
+                    of && dead.draw == Some(l.number("draw"))
+                };
+                let known = self.lines_of(by).find(knows).map(|l| l.at);
+                all.push((n, killed, until, by.place, known.map(|at| Duration::from_nanos(at - killed))));
+            }
+        }
+        all
+    }
+
+    /// Whether every process that runs holds just the others that run, by its own lines; else who holds what.
+    pub fn disagreements(&self) -> Vec<String> {
+        let yielded = |p: &Process| self.lines_of(p).any(|l| l.kind == "yielded");
+        let running: Vec<&Process> =
+            self.processes.iter().filter(|p| p.runs(self.end) && !yielded(p)).collect();
+        let mut wrong = Vec::new();
+        for p in &running {
+            let mut held: BTreeMap<&str, (&str, u64)> = BTreeMap::new();
+            for l in self.lines_of(p) {
+                let state = match l.kind.as_str() {
+                    "joined" | "returned" | "cleared" => "alive",
+                    "suspected" => "suspect",
+                    "verdict" | "dead" => "dead",
+                    "left" => "left",
+                    _ => continue,
+                };
+                held.insert(l.text("member"), (state, l.number("draw")));
+            }
+            for other in running.iter().filter(|o| o.name != p.name) {
+                match held.get(other.name.as_str()) {
+                    Some(("alive", draw)) if Some(*draw) == other.draw => {}
+                    held => wrong.push(format!("n{} holds {}, which runs, as {held:?}", p.place, other.name)),
+                }
+            }
+            for (name, (state, _)) in held {
+                if matches!(state, "alive" | "suspect") && !running.iter().any(|o| o.name == name) {
+                    wrong.push(format!("n{} holds {name}, which is gone, as {state}", p.place));
+                }
+            }
+        }
+        wrong
+    }
+
+    /// Lines of this kind that processes at that place wrote.
+    pub fn wrote(&self, place: usize, kind: &str) -> usize {
+        self.history.lines.iter().filter(|l| l.place == place && l.kind == kind).count()
+    }
+
+    /// Lines in which a process went back behind an incarnation that it had told.
+    pub fn incarnations_back(&self) -> Vec<String> {
+        let mut last: BTreeMap<(usize, usize), u64> = BTreeMap::new();
+        let mut wrong = Vec::new();
+        for l in self.history.lines.iter().filter(|l| matches!(l.kind.as_str(), "refuted" | "held_up")) {
+            let incarnation = l.number("incarnation");
+            let before = last.insert((l.place, l.start), incarnation).unwrap_or(0);
+            if incarnation < before {
+                wrong.push(format!("n{} went from incarnation {before} back to {incarnation}", l.place));
+            }
+        }
+        wrong
+    }
+
+    /// Most verdicts that one process reached on one member.
+    pub fn most_verdicts(&self) -> usize {
+        let mut counts: BTreeMap<(usize, &str), usize> = BTreeMap::new();
+        for l in self.history.lines.iter().filter(|l| l.kind == "verdict") {
+            *counts.entry((l.place, l.text("member"))).or_default() += 1;
+        }
+        counts.into_values().max().unwrap_or(0)
+    }
+
+    /// How unevenly the places of those that run lie on the ring: the widest gap between neighbours over the mean. None: a
+    /// process has no place yet.
+    pub fn unevenness(&self) -> Option<f64> {
+        let running = self.processes.iter().filter(|p| p.runs(self.end));
+        let last =
+            |p: &Process| self.lines_of(p).filter(|l| l.kind == "place").last()?.fields.get("at")?.as_f64();
+        let mut places = running.map(last).collect::<Option<Vec<f64>>>()?;
+        places.sort_by(f64::total_cmp);
+        let round = places.first()? + 1.0;
+        let next = places.iter().skip(1).chain([&round]);
+        let widest = places.iter().zip(next).map(|(a, b)| b - a).fold(0.0, f64::max);
+        Some(widest * places.len() as f64)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: u64 = 1_000_000_000;
+
+    fn line(at: u64, place: usize, kind: &str, fields: &[(&str, u64)]) -> Line {
+        let mut map = serde_json::Map::new();
+        for (key, value) in fields {
+            map.insert((*key).to_owned(), (*value).into());
+        }
+        if let Some((_, draw)) = fields.iter().find(|f| f.0 == "draw") {
+            map.insert("member".to_owned(), format!("n{}", draw - 1).into());
+        }
+        Line { at, place, start: 0, kind: kind.to_owned(), fields: map }
+    }
+
+    /// Four processes that know each other after a second.
+    fn quiet() -> History {
+        let mut h = History::default();
+        for n in 0..4 {
+            h.did.push((S, Did::Started(n, format!("n{n}"))));
+            h.lines.push(line(S, n, "listening", &[("draw", n as u64 + 1)]));
+            let others = (0..4).filter(|o| *o != n);
+            others.for_each(|o| h.lines.push(line(2 * S, n, "joined", &[("draw", o as u64 + 1)])));
+        }
+        h
+    }
+
+    #[test]
+    fn a_quiet_history_is_sound() {
+        let h = quiet();
+        let c = Checker::new(&h, 60 * S);
+        assert!(c.false_verdicts().is_empty() && c.unnoticed(Duration::ZERO).is_empty());
+        assert_eq!(c.disagreements(), Vec::<String>::new());
+    }
+
+    #[test]
+    fn a_verdict_on_the_living_is_found_and_one_on_the_dead_is_none() {
+        let mut h = quiet();
+        h.lines.push(line(20 * S, 0, "verdict", &[("draw", 2)]));
+        assert_eq!(Checker::new(&h, 60 * S).false_verdicts().len(), 1);
+        h.did.push((17 * S, Did::Ended(1, true)));
+        assert_eq!(Checker::new(&h, 60 * S).false_verdicts().len(), 0);
+        // Dead for half a second only.
+        h.did[4].0 = 19 * S + S / 2;
+        assert_eq!(Checker::new(&h, 60 * S).false_verdicts().len(), 1);
+        // Of nobody.
+        h.lines.push(line(20 * S, 0, "verdict", &[("draw", 9)]));
+        assert_eq!(Checker::new(&h, 60 * S).false_verdicts().len(), 2);
+    }
+
+    #[test]
+    fn a_pause_excuses_a_verdict_only_while_it_lasts_and_for_long_enough() {
+        for (from, to, wrong) in [(16, 21, 0), (19, 21, 1), (10, 15, 1)] {
+            let mut h = quiet();
+            h.did.push((from * S, Did::Stopped(1)));
+            h.did.push((to * S, Did::Resumed(1)));
+            h.lines.push(line(20 * S, 0, "verdict", &[("draw", 2)]));
+            assert_eq!(Checker::new(&h, 60 * S).false_verdicts().len(), wrong, "{from} to {to}");
+        }
+    }
+
+    #[test]
+    fn a_cut_excuses_a_verdict_only_without_a_road_through_a_third() {
+        let one = BTreeSet::from([(1, 0)]);
+        let all: BTreeSet<_> = [0, 2, 3].into_iter().map(|to| (1, to)).collect();
+        for (cut, wrong) in [(one, 1), (all, 0)] {
+            let mut h = quiet();
+            h.did.push((10 * S, Did::Cut(cut)));
+            h.lines.push(line(20 * S, 0, "verdict", &[("draw", 2)]));
+            assert_eq!(Checker::new(&h, 60 * S).false_verdicts().len(), wrong);
+        }
+    }
+
+    #[test]
+    fn a_death_that_one_does_not_hear_of_is_found() {
+        let mut h = quiet();
+        h.did.push((10 * S, Did::Ended(3, true)));
+        h.lines.push(line(14 * S, 0, "verdict", &[("draw", 4)]));
+        h.lines.push(line(15 * S, 1, "dead", &[("draw", 4)]));
+        let missing = Checker::new(&h, 60 * S).unnoticed(Duration::from_secs(10));
+        assert!(missing.len() == 1 && missing[0].contains("n2 "), "{missing:?}");
+        assert_eq!(Checker::new(&h, 60 * S).unnoticed(Duration::from_millis(4500)).len(), 2);
+        assert_eq!(Checker::new(&h, 60 * S).disagreements().len(), 1, "n2 holds it still");
+        h.lines.push(line(16 * S, 2, "dead", &[("draw", 4)]));
+        let c = Checker::new(&h, 60 * S);
+        assert!(c.unnoticed(Duration::from_secs(10)).is_empty() && c.disagreements().is_empty());
+    }
+
+    #[test]
+    fn a_view_of_an_earlier_life_and_an_incarnation_that_goes_back_are_found() {
+        let mut h = quiet();
+        h.lines.push(line(5 * S, 1, "refuted", &[("incarnation", 4)]));
+        h.lines.push(line(6 * S, 1, "refuted", &[("incarnation", 3)]));
+        assert_eq!(Checker::new(&h, 60 * S).incarnations_back().len(), 1);
+        h.did.push((10 * S, Did::Ended(3, true)));
+        h.did.push((11 * S, Did::Started(3, "n3".to_owned())));
+        let mut again = line(11 * S, 3, "listening", &[("draw", 77)]);
+        again.start = 1;
+        h.lines.push(again);
+        let wrong = Checker::new(&h, 60 * S).disagreements();
+        assert_eq!(wrong.iter().filter(|w| w.contains("holds n3")).count(), 3, "{wrong:?}");
+    }
+
+    #[test]
+    fn places_beside_each_other_are_uneven() {
+        let mut h = quiet();
+        assert_eq!(Checker::new(&h, 60 * S).unevenness(), None, "nobody told a place");
+        for (n, at) in [0.0, 0.25, 0.5, 0.75].into_iter().enumerate() {
+            let mut l = line(3 * S, n, "place", &[]);
+            l.fields.insert("at".to_owned(), at.into());
+            h.lines.push(l);
+        }
+        assert_eq!(Checker::new(&h, 60 * S).unevenness(), Some(1.0));
+        h.lines.last_mut().expect("four").fields.insert("at".to_owned(), 0.5.into());
+        assert_eq!(Checker::new(&h, 60 * S).unevenness(), Some(2.0));
+    }
+}
--- /dev/null
+++ b/crates/standin/src/rig/mod.rs
@@ -0,0 +1,450 @@
+//! A rig of many processes of the real node, with a [`wire`] in user space between them and faults on both.
+//!
+//! Each process runs on an address of its own within 127.0.0.0/8 and writes its events as JSON lines with the monotonic clock
+//! that all processes of a machine share. The rig keeps a record of what it did on the same clock; the [`checker`] judges
+//! by the two alone. What the rig started is gone when it is dropped, also after a panic: every process is killed by its id.
+
+pub mod cases;
+pub mod checker;
+pub mod history;
+pub mod wire;
+
+use crate::process::{self, ConfigFile};
+use crate::registry::Registry;
+use crate::script::{Deed, Entry, Nodes, NodesFault, Script, WireFault};
+use birchswitch_lab::chance::Chance;
+use history::{now, Did, History, Line};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::json;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::Child;
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, JoinSet};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+use wire::Wire;
+
+/// For a process to start or to end.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What to build.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The node's program.
+    pub binary: PathBuf,
+    /// Nodes that are started at once.
+    pub nodes: usize,
+    /// Places beside them, for second processes under a name.
+    pub spare: usize,
+    /// Zones, each of nodes in a row.
+    pub zones: usize,
+    /// Further lines of the `[cluster]` table.
+    pub cluster: String,
+    /// Faults and the seed.
+    pub script: Script,
+}
+
+/// Why a rig can't go on. What a run was is in `History`; this is trouble with the rig itself.
+#[derive(Debug, thiserror::Error)]
+pub enum RigError {
+    /// A socket or process could not be had.
+    #[error("{what}: {source}")]
+    Io {
+        /// What for.
+        what: String,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// A process ended by itself or did not come up.
+    #[error("the process at place {place} {what}; its last words: {log}")]
+    Ended {
+        /// Where.
+        place: usize,
+        /// What it did.
+        what: String,
+        /// The end of its log.
+        log: String,
+    },
+    /// What was waited for did not come.
+    #[error("{what} did not come within {patience:?}: {last}")]
+    Late {
+        /// What.
+        what: String,
+        /// How long it was waited for.
+        patience: Duration,
+        /// What was there instead.
+        last: String,
+    },
+}
+
+fn io(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> RigError {
+    let what = what.into();
+    move |source| RigError::Io { what, source }
+}
+
+/// Lines as they come.
+#[derive(Default)]
+struct Record {
+    history: RefCell<History>,
+    came: Notify,
+}
+
+struct Process {
+    child: Child,
+    listen: SocketAddr,
+    log: Rc<RefCell<Vec<String>>>,
+    _files: [ConfigFile; 2],
+}
+
+/// A rig that runs. Has to live on a `LocalSet`.
+pub struct Rig {
+    plan: Plan,
+    wire: Rc<Wire>,
+    registry: Rc<Registry>,
+    processes: Vec<Option<Process>>,
+    starts: Vec<usize>,
+    record: Rc<Record>,
+    chance: Chance,
+    deeds: JoinSet<()>,
+}
+
+impl Rig {
+    /// Starts all nodes; the first three are the seeds.
+    pub async fn start(plan: Plan) -> Result<Self, RigError> {
+        let places = plan.nodes + plan.spare;
+        let wire = Rc::new(Wire::new(places, plan.script.seed).await.map_err(io("the wire"))?);
+        let registry = Registry::start().await.map_err(io("the registry"))?;
+        for n in 0..20 {
+            let server = json!({"id": format!("s{n}"), "host_port": crate::scripted::own_address().to_string(), "locality": "here",
+                                "flavor": "std", "cell": n / 4, "phase": "active", "size": 1.0, "up_since_ms": 0});
+            registry.tell(server);
+        }
+        let chance = Chance::new(plan.script.seed, 3);
+        let mut rig = Rig {
+            wire,
+            registry,
+            processes: (0..places).map(|_| None).collect(),
+            starts: vec![0; places],
+            record: Rc::default(),
+            chance,
+            deeds: JoinSet::new(),
+            plan,
+        };
+        for n in 0..rig.plan.nodes {
+            rig.spawn(n, n).await?;
+        }
+        Ok(rig)
+    }
+
+    fn did(&self, did: Did) {
+        self.record.history.borrow_mut().did.push((now(), did));
+    }
+
+    /// Starts a process at a place, under the name of a node.
+    pub async fn spawn(&mut self, place: usize, node: usize) -> Result<(), RigError> {
+        let name = format!("n{node}");
+        let config = json!({
+            "name": name, "listen": "127.0.0.1:0", "ops": "127.0.0.1:0",
+            "discovery": self.registry.address().to_string(), "seed": format!("{:x}", self.plan.script.seed),
+            "limits": {"sockets": 256, "memory_mb": 64}, "settings": crate::scripted::settings(),
+        });
+        let file = ConfigFile::new(&config.to_string()).map_err(io("a configuration"))?;
+        let at = |n: usize| self.wire.address(n).map_err(io("the wire"));
+        let seeds = (0..self.plan.nodes.min(3)).map(at).collect::<Result<Vec<_>, _>>()?;
+        let zone = node * self.plan.zones.max(1) / self.plan.nodes.max(1);
+        let operator = format!(
+            "[log]\njson = \"stderr\"\n[cluster]\nname = \"rig\"\nbind = \"{}:0\"\nadvertise = \"{}\"\nseeds = {}\nzone = \"z{zone}\"\n{}\n",
+            wire::host(place, false), at(place)?, json!(seeds), self.plan.cluster
+        );
+        let operator = ConfigFile::new(&operator).map_err(io("an operator's file"))?;
+        let path = operator.path().display().to_string();
+        self.did(Did::Started(place, name.clone()));
+        let mut child = process::start(&self.plan.binary, &file, &[("GW_OPERATOR", &path)])
+            .map_err(io(format!("starting {name} ({})", self.plan.binary.display())))?;
+        let mut lines = BufReader::new(child.stderr.take().expect("it is piped")).lines();
+        let log = Rc::new(RefCell::new(Vec::new()));
+        let (start, record, kept) = (self.starts[place], self.record.clone(), log.clone());
+        self.starts[place] += 1;
+        let (wire, ready) = (self.wire.clone(), Rc::new(RefCell::new(None)));
+        let told = ready.clone();
+        spawn_local(async move {
+            while let Ok(Some(text)) = lines.next_line().await {
+                if let Some(address) = text.split("listening on ").nth(1).and_then(|a| a.trim().parse().ok())
+                {
+                    *told.borrow_mut() = Some(address);
+                }
+                if let Some(line) = Line::parse(&text, place, start) {
+                    if let ("listening", Ok(real)) = (line.kind.as_str(), line.text("address").parse()) {
+                        wire.runs_at(place, Some(real));
+                    }
+                    record.history.borrow_mut().lines.push(line);
+                }
+                let mut kept = kept.borrow_mut();
+                kept.push(text);
+                let over = kept.len().saturating_sub(40);
+                kept.drain(..over);
+                record.came.notify_waiters();
+            }
+        });
+        let up = |h: &History| {
+            h.lines.iter().any(|l| l.kind == "listening" && (l.place, l.start) == (place, start))
+        };
+        let waited =
+            self.wait(PATIENCE, || up(&self.record.history.borrow()) && ready.borrow().is_some()).await;
+        let listen = *ready.borrow();
+        let Some(listen) = listen.filter(|_| waited) else {
+            let log = log.borrow().join("\n");
+            return Err(RigError::Ended { place, what: "did not come up".into(), log });
+        };
+        self.processes[place] = Some(Process { child, listen, log, _files: [file, operator] });
+        Ok(())
+    }
+
+    async fn wait(&self, patience: Duration, holds: impl Fn() -> bool) -> bool {
+        let wait = async {
+            loop {
+                let came = self.record.came.notified();
+                if holds() {
+                    return;
+                }
+                // Lines tell when to look; the clock does where none comes.
+                let _ = timeout(Duration::from_millis(100), came).await;
+            }
+        };
+        timeout(patience, wait).await.is_ok()
+    }
+
+    /// Waits until the history is so. How long that took; an error says what came instead, as `last` tells it.
+    pub async fn until(
+        &self,
+        what: &str,
+        patience: Duration,
+        holds: impl Fn(&History) -> bool,
+        last: impl Fn(&History) -> String,
+    ) -> Result<Duration, RigError> {
+        let began = Instant::now();
+        if self.wait(patience, || holds(&self.record.history.borrow())).await {
+            return Ok(began.elapsed());
+        }
+        let last = last(&self.record.history.borrow());
+        Err(RigError::Late { what: what.to_owned(), patience, last })
+    }
+
+    /// Waits until all that run hold just each other.
+    pub async fn agreed(&self, patience: Duration) -> Result<Duration, RigError> {
+        let wrong = |h: &History| checker::Checker::new(h, now()).disagreements();
+        let last = |h: &History| wrong(h).into_iter().take(5).collect::<Vec<_>>().join("; ");
+        self.until("one membership", patience, |h| wrong(h).is_empty(), last).await
+    }
+
+    /// What happened so far.
+    pub fn history(&self) -> History {
+        self.record.history.borrow().clone()
+    }
+
+    /// The wire.
+    pub fn wire(&self) -> &Wire {
+        &self.wire
+    }
+
+    /// Where clients reach the node at a place.
+    pub fn listen(&self, place: usize) -> Option<SocketAddr> {
+        self.processes[place].as_ref().map(|p| p.listen)
+    }
+
+    /// The id of the process at a place.
+    pub fn pid(&self, place: usize) -> Option<u32> {
+        self.processes[place].as_ref().and_then(|p| p.child.id())
+    }
+
+    /// Places whose processes were started and not ended by the rig.
+    pub fn places(&self) -> Vec<usize> {
+        (0..self.processes.len()).filter(|n| self.processes[*n].is_some()).collect()
+    }
+
+    fn signal(&self, place: usize, signal: Signal) {
+        let pid = self.pid(place).and_then(|p| Pid::from_raw(p as i32));
+        // One that is gone already needs none.
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    async fn end(&mut self, place: usize, silent: bool) -> Result<(), RigError> {
+        let Some(mut process) = self.processes[place].take() else { return Ok(()) };
+        if let Some(pid) = process.child.id().and_then(|p| Pid::from_raw(p as i32)) {
+            let _ = kill_process(pid, if silent { Signal::KILL } else { Signal::TERM });
+        }
+        if silent {
+            self.did(Did::Ended(place, true));
+        }
+        let ended = timeout(PATIENCE, process.child.wait()).await;
+        if !silent {
+            self.did(Did::Ended(place, false));
+        }
+        self.wire.runs_at(place, None);
+        match ended {
+            Ok(Ok(status)) if silent || status.success() => Ok(()),
+            other => {
+                let log = process.log.borrow().join("\n");
+                Err(RigError::Ended { place, what: format!("ended with {other:?}"), log })
+            }
+        }
+    }
+
+    /// Plays the script from its beginning to its end.
+    pub async fn play(&mut self, mut report: impl FnMut(&Entry)) -> Result<(), RigError> {
+        let began = Instant::now();
+        for entry in self.plan.script.entries.clone() {
+            sleep_until(began + entry.at).await;
+            self.check()?;
+            report(&entry);
+            self.carry_out(&entry.deed).await?;
+        }
+        while self.deeds.join_next().await.is_some() {}
+        self.check()
+    }
+
+    /// A process that ended by itself ends the run.
+    fn check(&mut self) -> Result<(), RigError> {
+        for (place, process) in self.processes.iter_mut().enumerate() {
+            if let Some(Ok(Some(status))) = process.as_mut().map(|p| p.child.try_wait()) {
+                let log = process.as_ref().map(|p| p.log.borrow().join("\n")).unwrap_or_default();
+                return Err(RigError::Ended { place, what: format!("ended with {status}"), log });
+            }
+        }
+        Ok(())
+    }
+
+    fn chosen(&mut self, who: Nodes) -> Vec<usize> {
+        let nodes = self.plan.nodes;
+        match who {
+            Nodes::Range(first, last) => (first..=last.min(nodes - 1)).collect(),
+            Nodes::All => (0..nodes).collect(),
+            Nodes::Zone(zone) => (0..nodes).filter(|n| n * self.plan.zones.max(1) / nodes == zone).collect(),
+            Nodes::Part(part) => {
+                let mut all: Vec<usize> = (0..nodes).collect();
+                let take = (nodes as f64 * f64::from(part) / 1e3).round() as usize;
+                for n in 0..take {
+                    let other = n + self.chance.below(nodes - n);
+                    all.swap(n, other);
+                }
+                all.truncate(take);
+                all
+            }
+        }
+    }
+
+    async fn carry_out(&mut self, deed: &Deed) -> Result<(), RigError> {
+        match *deed {
+            Deed::Wire(fault) => self.bend(fault),
+            Deed::Nodes(who, fault) => {
+                let chosen = self.chosen(who);
+                // All at once: whoever can only be waited for is waited for after.
+                if fault == NodesFault::Die {
+                    chosen.iter().for_each(|n| self.signal(*n, Signal::KILL));
+                }
+                for n in chosen {
+                    self.befall(n, fault).await?;
+                }
+            }
+            // Servers are not the rig's.
+            Deed::Servers(..) => {}
+            Deed::Node(n, _) => {
+                self.end(n, false).await?;
+                self.spawn(n, n).await?;
+            }
+            Deed::RegistrySilent(length) => self.registry.silence(length),
+        }
+        Ok(())
+    }
+
+    async fn befall(&mut self, n: usize, fault: NodesFault) -> Result<(), RigError> {
+        match fault {
+            NodesFault::Die => self.end(n, true).await?,
+            NodesFault::End => self.end(n, false).await?,
+            NodesFault::Start => self.spawn(n, n).await?,
+            NodesFault::Twin => {
+                let spare = (self.plan.nodes..self.processes.len()).find(|s| self.processes[*s].is_none());
+                if let Some(spare) = spare {
+                    self.spawn(spare, n).await?;
+                }
+            }
+            NodesFault::Pause(length) => {
+                self.stop_for(n, vec![(Duration::ZERO, length)]);
+            }
+            NodesFault::Stutter(stopped, length) => {
+                let first = self.chance.unit();
+                let turns =
+                    (0..length.as_secs()).map(|s| (Duration::from_secs_f64(first + s as f64), stopped));
+                self.stop_for(n, turns.collect());
+            }
+        }
+        Ok(())
+    }
+
+    /// Stops a process from those times on, for so long each.
+    fn stop_for(&mut self, place: usize, turns: Vec<(Duration, Duration)>) {
+        let Some(pid) = self.pid(place).and_then(|p| Pid::from_raw(p as i32)) else { return };
+        let (record, began) = (self.record.clone(), Instant::now());
+        let did = move |did| record.history.borrow_mut().did.push((now(), did));
+        self.deeds.spawn_local(async move {
+            for (from, length) in turns {
+                sleep_until(began + from).await;
+                // The record's span lies within the real one: it excuses.
+                let _ = kill_process(pid, Signal::STOP);
+                did(Did::Stopped(place));
+                sleep(length).await;
+                did(Did::Resumed(place));
+                let _ = kill_process(pid, Signal::CONT);
+            }
+        });
+    }
+
+    fn bend(&mut self, fault: WireFault) {
+        let mut pairs = |one: Nodes, other: Nodes, both: bool| {
+            let (one, other) = (self.chosen(one), self.chosen(other));
+            let mut cut: BTreeSet<(usize, usize)> = BTreeSet::new();
+            for (a, b) in one.iter().flat_map(|a| other.iter().map(move |b| (*a, *b))).filter(|(a, b)| a != b)
+            {
+                cut.insert((a, b));
+                if both {
+                    cut.insert((b, a));
+                }
+            }
+            cut
+        };
+        let cut = match fault {
+            WireFault::Cut(from, to) => pairs(from, to, false),
+            WireFault::Split(one, other) => pairs(one, other, true),
+            _ => BTreeSet::new(),
+        };
+        self.wire.change(|f| match fault {
+            WireFault::Cut(..) | WireFault::Split(..) => f.cut.extend(cut),
+            WireFault::Heal => f.cut.clear(),
+            WireFault::Lose(part) => f.lose = part,
+            WireFault::Double(part) => f.double = part,
+            WireFault::Spoil(part) => f.spoil = part,
+            WireFault::Shorten(part) => f.shorten = part,
+            WireFault::Delay(most) => f.delay = most,
+        });
+        self.did(Did::Cut(self.wire.cut()));
+    }
+
+    /// Ends all processes, those that are stopped too, and hands out the history.
+    pub async fn close(mut self) -> Result<History, RigError> {
+        for place in self.places() {
+            self.signal(place, Signal::CONT);
+            self.signal(place, Signal::TERM);
+        }
+        for place in self.places() {
+            self.end(place, false).await?;
+        }
+        Ok(self.history())
+    }
+}
--- /dev/null
+++ b/crates/standin/src/rig/wire.rs
@@ -0,0 +1,186 @@
+//! The wire between nodes, in user space: every datagram passes here, and what befalls it is chosen for its ordered pair.
+//!
+//! Each place has a socket that stands for it: others are told that address, and what a node sends leaves from its own place's.
+//! So a node sees its peers at one address each, whatever process runs there.
+
+use birchswitch_lab::chance::Chance;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::task::{spawn_local, JoinSet};
+
+/// What befalls datagrams now. Parts are thousandths.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Ordered pairs of places for which nothing passes.
+    pub cut: BTreeSet<(usize, usize)>,
+    /// Lost.
+    pub lose: u32,
+    /// Come twice.
+    pub double: u32,
+    /// Have a bit changed.
+    pub spoil: u32,
+    /// Are cut short.
+    pub shorten: u32,
+    /// Most by which each is held back.
+    pub delay: Duration,
+}
+
+/// What passed, and what was done to it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Passed {
+    /// Datagrams and bytes that nodes sent.
+    pub sent: [u64; 2],
+    /// Of these, lost or cut.
+    pub lost: u64,
+    /// Changed or cut short.
+    pub spoilt: u64,
+    /// From addresses of nobody.
+    pub strangers: u64,
+}
+
+struct Place {
+    socket: UdpSocket,
+    /// Where its process listens, if one does.
+    real: Cell<Option<SocketAddr>>,
+}
+
+/// The wire. Runs on a `LocalSet`, as long as it is held.
+pub struct Wire {
+    shared: Rc<Shared>,
+    _tasks: JoinSet<()>,
+}
+
+struct Shared {
+    places: Vec<Place>,
+    faults: RefCell<Faults>,
+    passed: RefCell<Passed>,
+    chance: RefCell<Chance>,
+}
+
+/// The address of a place within 127.0.0.0/8, for its process and for its stand-in on the wire.
+pub fn host(place: usize, standing_in: bool) -> Ipv4Addr {
+    let n = place as u16 + 1;
+    let [high, low] = n.to_be_bytes();
+    Ipv4Addr::new(127, if standing_in { 77 } else { 76 }, high, low)
+}
+
+impl Wire {
+    /// A wire between so many places, on ports that the system chooses.
+    pub async fn new(places: usize, seed: u64) -> io::Result<Self> {
+        let mut all = Vec::new();
+        for n in 0..places {
+            let socket = UdpSocket::bind((host(n, true), 0)).await?;
+            all.push(Place { socket, real: Cell::new(None) });
+        }
+        let shared = Rc::new(Shared {
+            places: all,
+            faults: RefCell::default(),
+            passed: RefCell::default(),
+            chance: RefCell::new(Chance::new(seed, 9)),
+        });
+        let mut tasks = JoinSet::new();
+        for n in 0..places {
+            let shared = shared.clone();
+            tasks.spawn_local(async move { shared.carry(n).await });
+        }
+        Ok(Wire { shared, _tasks: tasks })
+    }
+
+    /// Where others send to reach a place.
+    pub fn address(&self, place: usize) -> io::Result<SocketAddr> {
+        self.shared.places[place].socket.local_addr()
+    }
+
+    /// Where the process at a place listens now.
+    pub fn runs_at(&self, place: usize, real: Option<SocketAddr>) {
+        self.shared.places[place].real.set(real);
+    }
+
+    /// Where the process at a place listens, if one does.
+    pub fn real(&self, place: usize) -> Option<SocketAddr> {
+        self.shared.places[place].real.get()
+    }
+
+    /// Changes what befalls datagrams.
+    pub fn change(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.shared.faults.borrow_mut());
+    }
+
+    /// The ordered pairs that are cut.
+    pub fn cut(&self) -> BTreeSet<(usize, usize)> {
+        self.shared.faults.borrow().cut.clone()
+    }
+
+    /// What passed.
+    pub fn passed(&self) -> Passed {
+        *self.shared.passed.borrow()
+    }
+}
+
+impl Shared {
+    async fn carry(self: Rc<Self>, to: usize) {
+        let mut buffer = vec![0; 65536];
+        loop {
+            let Ok((length, source)) = self.places[to].socket.recv_from(&mut buffer).await else { continue };
+            let from = self.places.iter().position(|p| p.real.get() == Some(source));
+            let Some(from) = from else {
+                self.passed.borrow_mut().strangers += 1;
+                continue;
+            };
+            for (bytes, held) in self.befall(from, to, &buffer[..length]) {
+                if held.is_zero() {
+                    self.pass(from, to, &bytes);
+                } else {
+                    let shared = self.clone();
+                    spawn_local(async move {
+                        tokio::time::sleep(held).await;
+                        shared.pass(from, to, &bytes);
+                    });
+                }
+            }
+        }
+    }
+
+    /// What arrives of a datagram, and how much later.
+    fn befall(&self, from: usize, to: usize, bytes: &[u8]) -> Vec<(Vec<u8>, Duration)> {
+        let (faults, mut chance) = (self.faults.borrow(), self.chance.borrow_mut());
+        let mut passed = self.passed.borrow_mut();
+        passed.sent[0] += 1;
+        passed.sent[1] += bytes.len() as u64;
+        let befalls = |chance: &mut Chance, part: u32| part > 0 && chance.unit() < f64::from(part) / 1e3;
+        if faults.cut.contains(&(from, to)) || befalls(&mut chance, faults.lose) {
+            passed.lost += 1;
+            return Vec::new();
+        }
+        let copies = 1 + usize::from(befalls(&mut chance, faults.double));
+        let mut arrive = Vec::new();
+        for _ in 0..copies {
+            let mut bytes = bytes.to_vec();
+            if befalls(&mut chance, faults.spoil) && !bytes.is_empty() {
+                passed.spoilt += 1;
+                let at = chance.below(bytes.len());
+                bytes[at] ^= 1 << chance.below(8);
+            }
+            if befalls(&mut chance, faults.shorten) {
+                passed.spoilt += 1;
+                bytes.truncate(chance.below(bytes.len()));
+            }
+            let held =
+                if faults.delay.is_zero() { Duration::ZERO } else { faults.delay.mul_f64(chance.unit()) };
+            arrive.push((bytes, held));
+        }
+        arrive
+    }
+
+    fn pass(&self, from: usize, to: usize, bytes: &[u8]) {
+        if let Some(real) = self.places[to].real.get() {
+            // A full socket loses it, as a wire may.
+            let _ = self.places[from].socket.try_send_to(bytes, real);
+        }
+    }
+}
--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -9,12 +9,21 @@
 //! 40s     s5       die
 //! 45s     registry silent 3s
 //! 50s     s5       start
+//!
+//! 51s     n3-n5    pause 2s
+//! 55s     wire     cut n0 n1
+//! 60s     wire     heal
 //! ```
 //!
+//! The last three want the rig of many processes ([`crate::rig`]); more of them are in [`NodesFault`] and [`WireFault`].
+//!
 //! One fault a line; `#` begins a comment. Times are whole numbers with `ms` or `s`, counted from the start. A target is
 //! one server (`s2`), a run of them (`s0-s3`, both included), `all`, `any` (one server that the seed chooses), a node
 //! (`n0`) or the `registry`.
 
+mod nodes;
+
+pub use nodes::{Nodes, NodesFault, WireFault};
 use std::fmt;
 use std::time::Duration;
 
@@ -43,6 +52,10 @@
     Servers(Servers, Fault),
     /// To a node.
     Node(usize, NodeFault),
+    /// To nodes' processes, on the rig.
+    Nodes(Nodes, NodesFault),
+    /// To the wire between nodes, on the rig.
+    Wire(WireFault),
     /// The registry neither speaks nor takes calls for so long.
     RegistrySilent(Duration),
 }
@@ -122,24 +135,35 @@
     }
 }
 
-fn deed(target: &str, fault: &[&str], servers: usize, nodes: usize) -> Result<Deed, String> {
+fn deed(target: &str, fault: &[&str], servers: usize, count: usize) -> Result<Deed, String> {
     if target == "registry" {
         return match fault {
             ["silent", length] => Ok(Deed::RegistrySilent(duration(length)?)),
             _ => Err(format!("{:?} befalls no registry: wanted `silent TIME`", fault.join(" "))),
         };
     }
+    if target == "wire" {
+        return nodes::wire(fault, count).map(Deed::Wire);
+    }
+    if let Some(what) = nodes::fault(fault).filter(|_| target.starts_with(['n', 'z'])) {
+        return Ok(Deed::Nodes(nodes::nodes(target, count)?, what?));
+    }
     let number = |text: &str, most: usize| match text.parse::<usize>() {
         Ok(n) if n < most => Ok(n),
         Ok(n) => Err(format!("{target}: there are {most}, and {n} is not among 0 to {}", most - 1)),
         Err(_) => Err(format!("{target:?} is no target: wanted sN, sN-sM, all, any, nN or registry")),
     };
     if let Some(n) = target.strip_prefix('n') {
-        let node = number(n, nodes)?;
+        let node = number(n, count)?;
         return match fault {
             ["restart"] => Ok(Deed::Node(node, NodeFault::Restart)),
             ["kill"] => Ok(Deed::Node(node, NodeFault::Kill)),
-            _ => Err(format!("{:?} befalls no node: wanted `restart` or `kill`", fault.join(" "))),
+            _ => {
+                let wanted =
+                    "`restart` or `kill`; on the rig `die`, `end`, `start`, `twin`, `pause TIME` or \
+                              `stutter TIME for TIME`";
+                Err(format!("{:?} befalls no node: wanted {wanted}", fault.join(" ")))
+            }
         };
     }
     let who = match (target, target.split_once('-')) {
@@ -222,6 +246,8 @@
             Deed::Servers(Servers::Range(a, b), fault) => write!(f, "s{a}-s{b} {fault}"),
             Deed::Node(n, NodeFault::Restart) => write!(f, "n{n} restart"),
             Deed::Node(n, NodeFault::Kill) => write!(f, "n{n} kill"),
+            Deed::Nodes(who, fault) => write!(f, "{who} {fault}"),
+            Deed::Wire(fault) => write!(f, "wire {fault}"),
             Deed::RegistrySilent(length) => write!(f, "registry silent {}", Written(*length)),
         }
     }
@@ -261,7 +287,12 @@
             ("8s s1-2 die", "is no target"),
             ("8s é die", "is no target"),
             ("8s s1 vanish", "\"vanish\" befalls no server"),
-            ("8s n0 die", "\"die\" befalls no node"),
+            ("8s n0 freeze 1s", "befalls no node"),
+            ("8s n0-n4 die", "\"n4\" is none of the nodes n0 to n0"),
+            ("8s nodes:2 die", "\"2\" is no part"),
+            ("8s zone:x die", "no number of a zone"),
+            ("8s wire lose 1.5", "\"1.5\" is no part"),
+            ("8s wire break", "befalls no wire"),
             ("8s n1 kill", "there are 1"),
             ("8s registry die", "befalls no registry"),
             ("8s s1 slow 0 for 3s", "\"0\" is no factor"),
@@ -289,7 +320,35 @@
             Just(Fault::Start),
             (any_duration(), any_duration()).prop_map(|(drain, every)| Fault::Deploy { drain, every }),
         ];
+        let nodes = || {
+            prop_oneof![
+                Just(Nodes::All),
+                (0usize..2, 0usize..2).prop_map(|(a, b)| Nodes::Range(a.min(b), a.max(b))),
+                (0u32..=1000).prop_map(Nodes::Part),
+                (0usize..9).prop_map(Nodes::Zone),
+            ]
+        };
+        let nodes_fault = prop_oneof![
+            Just(NodesFault::Die),
+            Just(NodesFault::End),
+            Just(NodesFault::Start),
+            Just(NodesFault::Twin),
+            any_duration().prop_map(NodesFault::Pause),
+            (any_duration(), any_duration()).prop_map(|(a, b)| NodesFault::Stutter(a, b)),
+        ];
+        let wire = prop_oneof![
+            (nodes(), nodes()).prop_map(|(a, b)| WireFault::Cut(a, b)),
+            (nodes(), nodes()).prop_map(|(a, b)| WireFault::Split(a, b)),
+            Just(WireFault::Heal),
+            (0u32..=1000).prop_map(WireFault::Lose),
+            (0u32..=1000).prop_map(WireFault::Double),
+            (0u32..=1000).prop_map(WireFault::Spoil),
+            (0u32..=1000).prop_map(WireFault::Shorten),
+            any_duration().prop_map(WireFault::Delay),
+        ];
         prop_oneof![
+            (nodes(), nodes_fault).prop_map(|(n, f)| Deed::Nodes(n, f)),
+            wire.prop_map(Deed::Wire),
             (servers, fault).prop_map(|(s, f)| Deed::Servers(s, f)),
             (0usize..2, any::<bool>())
                 .prop_map(|(n, k)| Deed::Node(n, if k { NodeFault::Kill } else { NodeFault::Restart })),
