--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -163,6 +163,8 @@
     agreed: (usize, Option<Time>),
     twins: Vec<SocketAddr>,
     gone: bool,
+    /// Bytes of the longest datagram that may be sent now.
+    pub(crate) longest: usize,
 }
 
 impl Core {
@@ -189,6 +191,7 @@
             agreed: (1, None),
             twins: Vec::new(),
             gone: false,
+            longest: wire::LONGEST,
             settings,
         })
     }
@@ -303,6 +306,7 @@
         if sender.id == self.own.id() {
             return self.namesake(from, sender, actions);
         }
+        let known = self.table.get(sender.id).is_some_and(|m| m.record.life == sender.life);
         for piece in &message.news {
             match News::decode(piece) {
                 Some(news) => self.absorb(now, news, actions),
@@ -322,7 +326,9 @@
             }
             _ => self.joining.stranger(from),
         }
-        self.answer(now, from, bytes.len(), &message, actions);
+        // What a datagram says of its sender makes it no better known at once.
+        let most = if known { wire::LONGEST } else { bytes.len() };
+        self.answer(now, from, most, &message, actions);
     }
 
     /// Another process under this name spoke here.
@@ -612,7 +618,8 @@
     ) {
         let mut message = Message { news: first, ..self.message(body) };
         // Half a datagram: news come in bursts, and probes are many.
-        let room = wire::room(&self.settings.cluster, &message).min(wire::LONGEST / 2);
+        let room = wire::room(&self.settings.cluster, &message);
+        let room = room.saturating_sub(wire::LONGEST - self.longest).min(wire::LONGEST / 2);
         let fleet = self.fleet();
         self.queue.take(room, fleet, &mut message.news);
         self.dispatch(to, &message, actions);
--- a/crates/cluster/src/exchange.rs
+++ b/crates/cluster/src/exchange.rs
@@ -113,32 +113,32 @@
         }
     }
 
-    /// Answers a message. To one that is no member no longer than it asked.
+    /// Answers a message, with at most so many bytes a datagram: one that is no member gets no more than it sent.
     pub(crate) fn answer(
         &mut self,
         now: Time,
         from: SocketAddr,
-        length: usize,
+        most: usize,
         message: &Message,
         actions: &mut Vec<Action>,
     ) {
         let (sender, begins) = (message.sender.id, actions.len());
         let known = self.table.get(sender).is_some();
+        self.longest = most;
         match &message.body {
-            Body::Join { .. } => self.welcome(from, length, message, actions),
+            Body::Join { .. } => self.welcome(from, message, actions),
             Body::Digest { sums, back } if known => self.differ(from, sums, *back, actions),
             Body::Relay { .. } if !known => {}
             body => self.answer_probe(now, from, sender, body, actions),
         }
-        if !known {
-            let short = |a: &Action| !matches!(a, Action::Send { bytes, .. } if bytes.len() > length);
-            let answers = actions.split_off(begins);
-            actions.extend(answers.into_iter().filter(short));
-        }
+        self.longest = wire::LONGEST;
+        let fits = |a: &Action| !matches!(a, Action::Send { bytes, .. } if bytes.len() > most);
+        let answers = actions.split_off(begins);
+        actions.extend(answers.into_iter().filter(fits));
     }
 
     /// As many members as the question is long.
-    fn welcome(&mut self, from: SocketAddr, length: usize, question: &Message, actions: &mut Vec<Action>) {
+    fn welcome(&mut self, from: SocketAddr, question: &Message, actions: &mut Vec<Action>) {
         let mut welcome = self.message(Body::Welcome);
         welcome.news.push(News::Alive(self.own.clone()).encode());
         // It may stand in the shadow of a predecessor.
@@ -151,7 +151,8 @@
                 welcome.news.push(piece);
             }
         }
-        while wire::encode(&self.settings.cluster, &welcome).len() > length && !welcome.news.is_empty() {
+        while wire::encode(&self.settings.cluster, &welcome).len() > self.longest && !welcome.news.is_empty()
+        {
             welcome.news.pop();
         }
         self.dispatch(from, &welcome, actions);
--- a/crates/standin/src/rig/cases.rs
+++ b/crates/standin/src/rig/cases.rs
@@ -156,7 +156,16 @@
     let [nodes, spare] = case.nodes;
     let mut script = Script::parse(case.script, 0, nodes)?;
     script.seed = seed;
-    let plan = Plan { binary, nodes, spare, zones: 4, cluster: String::new(), script };
+    let plan = Plan {
+        binary,
+        nodes,
+        spare,
+        zones: 4,
+        cluster: String::new(),
+        servers: Vec::new(),
+        streams: false,
+        script,
+    };
     let mut rig = Rig::start(plan).await?;
     rig.agreed(Duration::from_secs(60)).await?;
     let (began, before) = (now(), rig.wire().passed().sent[0]);
--- a/crates/standin/src/rig/checker.rs
+++ b/crates/standin/src/rig/checker.rs
@@ -170,23 +170,24 @@
         self.deaths().into_iter().filter_map(|d| d.4).collect()
     }
 
-    /// Each death, with each that ran from then on for 30 s or to the end, and how long it took to know.
+    /// Each death, with each that ran from then on for 30 s, to the end or to the next start under that name, and how long it
+    /// took to know.
     fn deaths(&self) -> Vec<(usize, Nanos, Nanos, usize, Option<Duration>)> {
         let mut all = Vec::new();
         for (n, dead) in self.processes.iter().enumerate() {
             let Some((killed, true)) = dead.ended else { continue };
-            let until = (killed + 30_000_000_000).min(self.end);
-            let again =
-                self.processes.iter().any(|p| p.name == dead.name && (killed..until).contains(&p.started));
+            let again = self.processes.iter().filter(|p| p.name == dead.name && p.started >= killed);
+            let again = again.map(|p| p.started).min().unwrap_or(self.end);
+            let until = (killed + 30_000_000_000).min(self.end).min(again);
             let cut =
                 self.cuts.iter().any(|c| !c.1.is_empty() && c.0 <= until) && !self.cut(killed).is_empty();
-            if again || cut {
+            if cut {
                 continue;
             }
             for by in self.processes.iter().filter(|p| p.place != dead.place && p.runs_through(killed, until))
             {
                 let knows = |l: &&Line| {
-                    let of = l.at >= killed && matches!(l.kind.as_str(), "verdict" | "dead");
+                    let of = (killed..until).contains(&l.at) && matches!(l.kind.as_str(), "verdict" | "dead");
                     of && dead.draw == Some(l.number("draw"))
                 };
                 let known = self.lines_of(by).find(knows).map(|l| l.at);
--- a/crates/standin/src/rig/mod.rs
+++ b/crates/standin/src/rig/mod.rs
@@ -7,24 +7,25 @@
 pub mod cases;
 pub mod checker;
 pub mod history;
+pub mod streams;
 pub mod wire;
 
 use crate::process::{self, ConfigFile};
 use crate::registry::Registry;
-use crate::script::{Deed, Entry, Nodes, NodesFault, Script, WireFault};
+use crate::script::{Deed, End, Entry, Far, Nodes, NodesFault, Script, WireFault};
 use birchswitch_lab::chance::Chance;
 use history::{now, Did, History, Line};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::json;
 use std::cell::RefCell;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
+use streams::{Pairs, Streams};
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::Child;
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tokio::task::{spawn_local, JoinSet};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 use wire::Wire;
@@ -45,6 +46,10 @@
     pub zones: usize,
     /// Further lines of the `[cluster]` table.
     pub cluster: String,
+    /// Servers that discovery tells of. None: twenty at addresses where nobody listens.
+    pub servers: Vec<SocketAddr>,
+    /// Connections pass the rig too: only then can a script cut `servers`, `discovery` and `clients`.
+    pub streams: bool,
     /// Faults and the seed.
     pub script: Script,
 }
@@ -97,15 +102,35 @@
 struct Process {
     child: Child,
     listen: SocketAddr,
+    operators: Option<SocketAddr>,
     log: Rc<RefCell<Vec<String>>>,
     _files: [ConfigFile; 2],
 }
 
+/// Where a process's addresses stand in its log.
+#[derive(Default)]
+struct Told {
+    listen: Option<SocketAddr>,
+    operators: Option<SocketAddr>,
+}
+
+/// What a place speaks with that is no node.
+struct Around {
+    registry: Rc<Registry>,
+    discovery: SocketAddr,
+    /// Where each server is for this place.
+    servers: Vec<SocketAddr>,
+    /// Where clients reach it, if they pass the rig, and where that leads.
+    clients: Option<SocketAddr>,
+    listens: watch::Sender<Option<SocketAddr>>,
+}
+
 /// A rig that runs. Has to live on a `LocalSet`.
 pub struct Rig {
     plan: Plan,
     wire: Rc<Wire>,
-    registry: Rc<Registry>,
+    streams: Streams,
+    around: Vec<Around>,
     processes: Vec<Option<Process>>,
     starts: Vec<usize>,
     record: Rc<Record>,
@@ -118,16 +143,21 @@
     pub async fn start(plan: Plan) -> Result<Self, RigError> {
         let places = plan.nodes + plan.spare;
         let wire = Rc::new(Wire::new(places, plan.script.seed).await.map_err(io("the wire"))?);
-        let registry = Registry::start().await.map_err(io("the registry"))?;
-        for n in 0..20 {
-            let server = json!({"id": format!("s{n}"), "host_port": crate::scripted::own_address().to_string(), "locality": "here",
-                                "flavor": "std", "cell": n / 4, "phase": "active", "size": 1.0, "up_since_ms": 0});
-            registry.tell(server);
+        let mut plan = plan;
+        if plan.servers.is_empty() {
+            plan.servers = (0..20).map(|_| crate::scripted::own_address()).collect();
+        }
+        let mut streams = Streams::default();
+        let mut around = Vec::new();
+        let alone = Registry::start().await.map_err(io("the registry"))?;
+        for n in 0..places {
+            around.push(surround(&plan, n, &alone, &mut streams).await.map_err(io("a way for connections"))?);
         }
         let chance = Chance::new(plan.script.seed, 3);
         let mut rig = Rig {
             wire,
-            registry,
+            streams,
+            around,
             processes: (0..places).map(|_| None).collect(),
             starts: vec![0; places],
             record: Rc::default(),
@@ -135,12 +165,28 @@
             deeds: JoinSet::new(),
             plan,
         };
+        for server in 0..rig.plan.servers.len() {
+            rig.tell(server, "active");
+        }
         for n in 0..rig.plan.nodes {
             rig.spawn(n, n).await?;
         }
         Ok(rig)
     }
 
+    /// Discovery tells a server's phase.
+    pub fn tell(&self, server: usize, phase: &str) {
+        // Places without ways of their own share one registry.
+        let own = if self.plan.streams { &self.around[..] } else { &self.around[..1] };
+        for around in own {
+            let address = around.servers[server].to_string();
+            around.registry.tell(
+                json!({"id": format!("s{server}"), "host_port": address, "locality": "here", "flavor": "std",
+                                        "cell": server / 4, "phase": phase, "size": 1.0, "up_since_ms": 0}),
+            );
+        }
+    }
+
     fn did(&self, did: Did) {
         self.record.history.borrow_mut().did.push((now(), did));
     }
@@ -150,7 +196,7 @@
         let name = format!("n{node}");
         let config = json!({
             "name": name, "listen": "127.0.0.1:0", "ops": "127.0.0.1:0",
-            "discovery": self.registry.address().to_string(), "seed": format!("{:x}", self.plan.script.seed),
+            "discovery": self.around[place].discovery.to_string(), "seed": format!("{:x}", self.plan.script.seed),
             "limits": {"sockets": 256, "memory_mb": 64}, "settings": crate::scripted::settings(),
         });
         let file = ConfigFile::new(&config.to_string()).map_err(io("a configuration"))?;
@@ -170,13 +216,15 @@
         let log = Rc::new(RefCell::new(Vec::new()));
         let (start, record, kept) = (self.starts[place], self.record.clone(), log.clone());
         self.starts[place] += 1;
-        let (wire, ready) = (self.wire.clone(), Rc::new(RefCell::new(None)));
+        let (wire, ready) = (self.wire.clone(), Rc::new(RefCell::new(Told::default())));
         let told = ready.clone();
         spawn_local(async move {
             while let Ok(Some(text)) = lines.next_line().await {
-                if let Some(address) = text.split("listening on ").nth(1).and_then(|a| a.trim().parse().ok())
-                {
-                    *told.borrow_mut() = Some(address);
+                let address = |after| text.split(after).nth(1).and_then(|a: &str| a.trim().parse().ok());
+                if let Some(listen) = address("listening on ") {
+                    told.borrow_mut().listen = Some(listen);
+                } else if let Some(operators) = address("operators call ") {
+                    told.borrow_mut().operators = Some(operators);
                 }
                 if let Some(line) = Line::parse(&text, place, start) {
                     if let ("listening", Ok(real)) = (line.kind.as_str(), line.text("address").parse()) {
@@ -194,14 +242,15 @@
         let up = |h: &History| {
             h.lines.iter().any(|l| l.kind == "listening" && (l.place, l.start) == (place, start))
         };
-        let waited =
-            self.wait(PATIENCE, || up(&self.record.history.borrow()) && ready.borrow().is_some()).await;
-        let listen = *ready.borrow();
-        let Some(listen) = listen.filter(|_| waited) else {
+        let told = || ready.borrow().listen.zip(ready.borrow().operators);
+        let waited = self.wait(PATIENCE, || up(&self.record.history.borrow()) && told().is_some()).await;
+        let Some((listen, operators)) = told().filter(|_| waited) else {
             let log = log.borrow().join("\n");
             return Err(RigError::Ended { place, what: "did not come up".into(), log });
         };
-        self.processes[place] = Some(Process { child, listen, log, _files: [file, operator] });
+        self.around[place].listens.send_replace(Some(listen));
+        let operators = Some(operators);
+        self.processes[place] = Some(Process { child, listen, operators, log, _files: [file, operator] });
         Ok(())
     }
 
@@ -254,7 +303,12 @@
 
     /// Where clients reach the node at a place.
     pub fn listen(&self, place: usize) -> Option<SocketAddr> {
-        self.processes[place].as_ref().map(|p| p.listen)
+        self.processes[place].as_ref().map(|p| self.around[place].clients.unwrap_or(p.listen))
+    }
+
+    /// Where operators call the node at a place.
+    pub fn operators(&self, place: usize) -> Option<SocketAddr> {
+        self.processes[place].as_ref().and_then(|p| p.operators)
     }
 
     /// The id of the process at a place.
@@ -288,6 +342,7 @@
             self.did(Did::Ended(place, false));
         }
         self.wire.runs_at(place, None);
+        self.around[place].listens.send_replace(None);
         match ended {
             Ok(Ok(status)) if silent || status.success() => Ok(()),
             other => {
@@ -340,6 +395,19 @@
         }
     }
 
+    /// All that was cut passes again.
+    pub fn heal(&mut self) {
+        self.bend(WireFault::Heal);
+    }
+
+    /// The places of an end. What is no node has one beyond all nodes'.
+    fn ends(&mut self, end: End) -> Vec<usize> {
+        match end {
+            End::Nodes(nodes) => self.chosen(nodes),
+            End::Far(far) => vec![beyond(far)],
+        }
+    }
+
     async fn carry_out(&mut self, deed: &Deed) -> Result<(), RigError> {
         match *deed {
             Deed::Wire(fault) => self.bend(fault),
@@ -359,7 +427,7 @@
                 self.end(n, false).await?;
                 self.spawn(n, n).await?;
             }
-            Deed::RegistrySilent(length) => self.registry.silence(length),
+            Deed::RegistrySilent(length) => self.around.iter().for_each(|a| a.registry.silence(length)),
         }
         Ok(())
     }
@@ -407,22 +475,15 @@
     }
 
     fn bend(&mut self, fault: WireFault) {
-        let mut pairs = |one: Nodes, other: Nodes, both: bool| {
-            let (one, other) = (self.chosen(one), self.chosen(other));
-            let mut cut: BTreeSet<(usize, usize)> = BTreeSet::new();
-            for (a, b) in one.iter().flat_map(|a| other.iter().map(move |b| (*a, *b))).filter(|(a, b)| a != b)
-            {
-                cut.insert((a, b));
-                if both {
-                    cut.insert((b, a));
-                }
-            }
-            cut
+        let mut pairs = |one: End, other: End, both: bool| {
+            let (one, other) = (self.ends(one), self.ends(other));
+            let all = one.iter().flat_map(|a| other.iter().map(move |b| (*a, *b))).filter(|(a, b)| a != b);
+            all.flat_map(|(a, b)| [Some((a, b)), both.then_some((b, a))]).flatten().collect::<Pairs>()
         };
         let cut = match fault {
             WireFault::Cut(from, to) => pairs(from, to, false),
             WireFault::Split(one, other) => pairs(one, other, true),
-            _ => BTreeSet::new(),
+            _ => Pairs::new(),
         };
         self.wire.change(|f| match fault {
             WireFault::Cut(..) | WireFault::Split(..) => f.cut.extend(cut),
@@ -433,6 +494,7 @@
             WireFault::Shorten(part) => f.shorten = part,
             WireFault::Delay(most) => f.delay = most,
         });
+        self.streams.cut(self.wire.cut());
         self.did(Did::Cut(self.wire.cut()));
     }
 
@@ -448,3 +510,30 @@
         Ok(self.history())
     }
 }
+
+/// A number like a place's for what is no node.
+fn beyond(far: Far) -> usize {
+    usize::MAX - far as usize
+}
+
+async fn surround(
+    plan: &Plan,
+    n: usize,
+    alone: &Rc<Registry>,
+    streams: &mut Streams,
+) -> std::io::Result<Around> {
+    let listens = watch::Sender::new(None);
+    if !plan.streams {
+        let (discovery, servers) = (alone.address(), plan.servers.clone());
+        return Ok(Around { registry: alone.clone(), discovery, servers, clients: None, listens });
+    }
+    let registry = Registry::start().await?;
+    let real = |address| watch::Sender::new(Some(address)).subscribe();
+    let discovery = streams.open((n, beyond(Far::Discovery)), real(registry.address())).await?;
+    let mut servers = Vec::new();
+    for server in &plan.servers {
+        servers.push(streams.open((n, beyond(Far::Servers)), real(*server)).await?);
+    }
+    let clients = Some(streams.open((beyond(Far::Clients), n), listens.subscribe()).await?);
+    Ok(Around { registry, discovery, servers, clients, listens })
+}
--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -23,7 +23,7 @@
 
 mod nodes;
 
-pub use nodes::{Nodes, NodesFault, WireFault};
+pub use nodes::{End, Far, Nodes, NodesFault, WireFault};
 use std::fmt;
 use std::time::Duration;
 
@@ -328,6 +328,7 @@
                 (0usize..9).prop_map(Nodes::Zone),
             ]
         };
+        let far = || prop_oneof![Just(Far::Servers), Just(Far::Discovery), Just(Far::Clients)];
         let nodes_fault = prop_oneof![
             Just(NodesFault::Die),
             Just(NodesFault::End),
@@ -337,8 +338,9 @@
             (any_duration(), any_duration()).prop_map(|(a, b)| NodesFault::Stutter(a, b)),
         ];
         let wire = prop_oneof![
-            (nodes(), nodes()).prop_map(|(a, b)| WireFault::Cut(a, b)),
-            (nodes(), nodes()).prop_map(|(a, b)| WireFault::Split(a, b)),
+            (nodes(), nodes()).prop_map(|(a, b)| WireFault::Cut(End::Nodes(a), End::Nodes(b))),
+            (nodes(), far()).prop_map(|(a, b)| WireFault::Split(End::Nodes(a), End::Far(b))),
+            (far(), nodes()).prop_map(|(a, b)| WireFault::Cut(End::Far(a), End::Nodes(b))),
             Just(WireFault::Heal),
             (0u32..=1000).prop_map(WireFault::Lose),
             (0u32..=1000).prop_map(WireFault::Double),
--- a/crates/standin/src/script/nodes.rs
+++ b/crates/standin/src/script/nodes.rs
@@ -17,6 +17,26 @@
     Zone(usize),
 }
 
+/// Whom a node speaks with that is no node, over connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Far {
+    /// All servers: `servers`.
+    Servers,
+    /// The registry: `discovery`.
+    Discovery,
+    /// Whoever asks: `clients`.
+    Clients,
+}
+
+/// An end of a way on the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Nodes.
+    Nodes(Nodes),
+    /// No nodes.
+    Far(Far),
+}
+
 /// What may befall a node's process on the rig.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NodesFault {
@@ -37,10 +57,10 @@
 /// What the wire does from now on. Parts are thousandths.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WireFault {
-    /// Nothing passes from the first to the second.
-    Cut(Nodes, Nodes),
+    /// Nothing passes from the first to the second: datagrams are lost, what connections carry waits.
+    Cut(End, End),
     /// Nothing passes between them.
-    Split(Nodes, Nodes),
+    Split(End, End),
     /// All that was cut passes again.
     Heal,
     /// So many are lost.
@@ -78,6 +98,19 @@
     }
 }
 
+fn ends(one: &str, other: &str, most: usize) -> Result<(End, End), String> {
+    let end = |text: &str| match text {
+        "servers" => Ok(End::Far(Far::Servers)),
+        "discovery" => Ok(End::Far(Far::Discovery)),
+        "clients" => Ok(End::Far(Far::Clients)),
+        _ => nodes(text, most).map(End::Nodes),
+    };
+    match (end(one)?, end(other)?) {
+        (End::Far(_), End::Far(_)) => Err(format!("between {one} and {other} is no node")),
+        ends => Ok(ends),
+    }
+}
+
 fn part(text: &str) -> Result<u32, String> {
     let thousandths = text.parse::<f64>().ok().map(|p| (p * 1e3).round()).filter(|p| (0.0..=1e3).contains(p));
     thousandths.map(|p| p as u32).ok_or_else(|| format!("{text:?} is no part from 0 to 1"))
@@ -99,8 +132,8 @@
 
 pub(super) fn wire(words: &[&str], most: usize) -> Result<WireFault, String> {
     match words {
-        ["cut", from, to] => Ok(WireFault::Cut(nodes(from, most)?, nodes(to, most)?)),
-        ["split", one, other] => Ok(WireFault::Split(nodes(one, most)?, nodes(other, most)?)),
+        ["cut", from, to] => ends(from, to, most).map(|(from, to)| WireFault::Cut(from, to)),
+        ["split", one, other] => ends(one, other, most).map(|(one, other)| WireFault::Split(one, other)),
         ["heal"] => Ok(WireFault::Heal),
         ["lose", of] => part(of).map(WireFault::Lose),
         ["double", of] => part(of).map(WireFault::Double),
@@ -109,7 +142,7 @@
         ["delay", most] => duration(most).map(WireFault::Delay),
         _ => {
             let wanted =
-                "`cut NODES NODES`, `split NODES NODES`, `heal`, `lose PART`, `double PART`, `spoil PART`, \
+                "`cut END END`, `split END END` (nodes, `servers`, `discovery` or `clients`), `heal`, `lose PART`, `double PART`, `spoil PART`, \
                           `shorten PART` or `delay TIME`";
             Err(format!("{:?} befalls no wire: wanted {wanted}", words.join(" ")))
         }
@@ -136,6 +169,17 @@
     }
 }
 
+impl fmt::Display for End {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            End::Nodes(nodes) => nodes.fmt(f),
+            End::Far(Far::Servers) => f.write_str("servers"),
+            End::Far(Far::Discovery) => f.write_str("discovery"),
+            End::Far(Far::Clients) => f.write_str("clients"),
+        }
+    }
+}
+
 impl fmt::Display for NodesFault {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
