--- a/crates/standin/src/cost.rs
+++ b/crates/standin/src/cost.rs
@@ -251,7 +251,8 @@
 }
 
 /// The process's CPU time so far, by its only thread.
-fn cpu(pid: u32) -> Duration {
+/// Time that a process's first thread was given.
+pub(crate) fn cpu(pid: u32) -> Duration {
     let text = std::fs::read_to_string(format!("/proc/{pid}/schedstat")).unwrap_or_default();
     Duration::from_nanos(text.split(' ').next().and_then(|n| n.parse().ok()).unwrap_or(0))
 }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -46,6 +46,9 @@
     /// Runs of each case, with seeds one after the other
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1000))]
     runs: u64,
+    /// Play no case; measure what so many processes cost that have nothing to do
+    #[arg(long, value_parser = clap::value_parser!(u16).range(3..=100))]
+    idle: Option<u16>,
     /// Write each run's events, one JSON line each, to a file of its name in this folder
     #[arg(long)]
     keep: Option<PathBuf>,
@@ -189,6 +192,21 @@
         Some(path) => path.clone(),
         None => build_node()?,
     };
+    if let Some(nodes) = arguments.idle {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let idle = cases::idle(nodes.into(), binary, Duration::from_secs(30));
+        let idle = tokio::task::LocalSet::new().block_on(&runtime, idle)?;
+        println!(
+            "{nodes} processes, one membership after {:.1} s; each {:.2}% of a core (most {:.2}%), {:.1} datagrams and {:.0} \
+             bytes a second",
+            idle.agreed.as_secs_f64(),
+            100.0 * idle.cpu[0],
+            100.0 * idle.cpu[1],
+            idle.sent[0],
+            idle.sent[1]
+        );
+        return Ok(true);
+    }
     println!(
         "{:<16}{:>6}{:>9}{:>12}{:>12}{:>10}{:>13}",
         "case", "seed", "one, s", "known, s", "last, s", "verdicts", "datagrams/s"
--- a/crates/standin/src/rig/cases.rs
+++ b/crates/standin/src/rig/cases.rs
@@ -3,6 +3,7 @@
 use super::checker::Checker;
 use super::history::{now, History};
 use super::{Plan, Rig, RigError};
+use crate::cost::cpu;
 use crate::script::{Entry, Script, ScriptError};
 use std::fmt;
 use std::path::PathBuf;
@@ -232,3 +233,45 @@
         history,
     })
 }
+
+/// What a quiet fleet costs each of its processes.
+pub struct Idle {
+    /// Until all knew each other.
+    pub agreed: Duration,
+    /// Parts of a core that a node's thread took: the mean and the most of all.
+    pub cpu: [f64; 2],
+    /// Datagrams and bytes a second that a node sent.
+    pub sent: [f64; 2],
+}
+
+/// Starts so many processes, lets them find each other and watches them for so long.
+pub async fn idle(nodes: usize, binary: PathBuf, length: Duration) -> Result<Idle, RigError> {
+    let script = Script::default();
+    let cluster = String::new();
+    let mut rig = Rig::start(Plan {
+        binary,
+        nodes,
+        spare: 0,
+        zones: 4,
+        cluster,
+        servers: Vec::new(),
+        streams: false,
+        script,
+    })
+    .await?;
+    let agreed = rig.agreed(Duration::from_secs(120)).await?;
+    let spent = |rig: &Rig| rig.places().iter().filter_map(|n| rig.pid(*n)).map(cpu).collect::<Vec<_>>();
+    let (before, sent) = (spent(&rig), rig.wire().passed().sent);
+    rig.play(|_| {}).await?;
+    tokio::time::sleep(length).await;
+    let (after, now) = (spent(&rig), rig.wire().passed().sent);
+    rig.close().await?;
+    let parts: Vec<f64> =
+        after.iter().zip(before).map(|(a, b)| (*a - b).as_secs_f64() / length.as_secs_f64()).collect();
+    let each = length.as_secs_f64() * nodes as f64;
+    Ok(Idle {
+        agreed,
+        cpu: [parts.iter().sum::<f64>() / nodes as f64, parts.iter().copied().fold(0.0, f64::max)],
+        sent: [0, 1].map(|n| (now[n] - sent[n]) as f64 / each),
+    })
+}
