--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod book;
 pub mod chance;
 mod hall;
+pub mod leases;
 pub mod members;
 pub mod model;
 pub mod policy;
--- /dev/null
+++ b/crates/lab/tests/leases.rs
@@ -0,0 +1,82 @@
+//! Two never hold a lease, whatever fails; and each safeguard is there for something: without it the same checks find what breaks.
+
+use birchswitch_lab::leases::{play, Faults, Outcome};
+use birchswitch_lease::{Safeguards, Terms};
+use std::time::Duration;
+
+const SECONDS: u64 = 120;
+
+fn terms(safeguards: Safeguards) -> Terms {
+    Terms {
+        ttl: Duration::from_secs(4),
+        round: Duration::from_millis(300),
+        safeguards,
+        ..Terms::new(Vec::new())
+    }
+}
+
+fn run(safeguards: Safeguards, faults: &Faults, seed: u64) -> Outcome {
+    let (voters, candidates) = [(3, 2), (3, 4), (5, 3), (7, 3)][seed as usize % 4];
+    play(&terms(safeguards), voters, candidates, SECONDS, faults, seed)
+}
+
+#[test]
+fn two_never_hold_whatever_fails() {
+    let (mut grants, mut refused, mut lost) = (0, 0, 0);
+    for seed in 0..300 {
+        let outcome = run(Safeguards::ALL, &Faults::all(), seed);
+        assert_eq!(outcome.broken, Vec::<String>::new(), "seed {seed}");
+        grants += outcome.grants;
+        refused += outcome.refused;
+        lost += outcome.lost;
+    }
+    assert!(grants > 300 && refused > 0 && lost > 100, "{grants} grants, {refused} refused, {lost} lost");
+}
+
+/// The first seed at which a check finds something.
+fn found(safeguards: Safeguards, faults: &Faults) -> Option<u64> {
+    (0..300).find(|seed| !run(safeguards, faults, *seed).broken.is_empty())
+}
+
+#[test]
+fn each_safeguard_taken_away_is_found() {
+    let all = Safeguards::ALL;
+    let faults = Faults::all();
+    // What a start forgets shows where processes start often.
+    let crashes = Faults { voters_every: 5.0, ..Faults::all() };
+    for (what, less, faults) in [
+        ("abstention", Safeguards { abstention: false, ..all }, &crashes),
+        ("margin", Safeguards { margin: false, ..all }, &faults),
+        ("majority", Safeguards { majority: false, ..all }, &faults),
+        ("promises", Safeguards { promises: false, ..all }, &faults),
+        ("floor", Safeguards { floor: false, ..all }, &faults),
+    ] {
+        let seed = found(less, faults);
+        println!("{what}: {seed:?}");
+        assert!(seed.is_some(), "{what} is there for nothing");
+    }
+    assert!(
+        found(all, &Faults { fenced: false, ..faults.clone() }).is_some(),
+        "the token's check is there for nothing"
+    );
+}
+
+/// Twice the drift that the terms allow breaks them; four fifths of it do not.
+#[test]
+fn clocks_beyond_the_promised_drift_are_found() {
+    let with = |drift| Faults { drift, ..Faults::all() };
+    assert_eq!(found(Safeguards::ALL, &with(40)), None);
+    assert!(found(Safeguards::ALL, &with(100)).is_some());
+}
+
+#[test]
+fn a_lease_is_held_on_through_loss_and_by_another_soon_after_a_crash() {
+    for seed in 0..10 {
+        let lossy = Faults { loss: 0.1, ..Faults::none() };
+        let outcome = play(&terms(Safeguards::ALL), 3, 3, 3600, &lossy, seed);
+        assert_eq!((outcome.grants, outcome.lost), (1, 0), "seed {seed}: an hour of 10% loss");
+        let crashes = Faults { crash_every: 30.0, ..Faults::none() };
+        let outcome = play(&terms(Safeguards::ALL), 5, 3, 600, &crashes, seed);
+        assert!(outcome.gap < 6.5 && outcome.broken.is_empty(), "seed {seed}: {outcome:?}");
+    }
+}
--- /dev/null
+++ b/crates/lease/src/voter.rs
@@ -0,0 +1,166 @@
+//! One voter: what it promised and granted, in memory alone.
+
+use crate::message::{Answer, Ask, Ballot, Key, Life, Wish, Word};
+use crate::terms::Terms;
+use crate::Time;
+use std::collections::BTreeMap;
+use std::hash::Hash;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Most keys that a voter keeps.
+const KEYS: usize = 4096;
+/// Most candidates that wait for a word when a key becomes free.
+const WAITING: usize = 16;
+
+/// What a voter holds of one key.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Entry {
+    /// No ballot of a lower number.
+    promised: Option<Ballot>,
+    /// Until then no other candidate's ballot either: tries that cross each other would all fail.
+    reserved: Time,
+    /// Whose it is, and until when.
+    accepted: Option<(Ballot, Time)>,
+    /// Who waits, in the order that they asked.
+    waiting: Vec<(Life, SocketAddr)>,
+}
+
+impl Entry {
+    fn live(&self, now: Time) -> Option<(Ballot, Time)> {
+        self.accepted.filter(|(_, until)| now < *until)
+    }
+}
+
+/// See the crate's own words.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Voter {
+    terms: Arc<Terms>,
+    abstains: Time,
+    /// Ballots up to this number may have been granted and forgotten.
+    floor: u64,
+    entries: BTreeMap<Key, Entry>,
+}
+
+impl Voter {
+    /// A voter that starts from nothing. `floor` has to lie above every token that was granted before all voters' memory was lost; the
+    /// time of day does, unless it was set back.
+    pub fn new(terms: Arc<Terms>, floor: u64, now: Time) -> Self {
+        let abstains = now + terms.abstention();
+        let floor = if terms.safeguards.floor { floor } else { 0 };
+        Voter { terms, abstains, floor, entries: BTreeMap::new() }
+    }
+
+    /// How long it still abstains.
+    pub fn abstains(&self, now: Time) -> Option<Time> {
+        self.abstains.checked_sub(now).filter(|left| !left.is_zero())
+    }
+
+    /// Keys that it holds to be somebody's, with token and time left.
+    pub fn granted(&self, now: Time) -> impl Iterator<Item = (&Key, Ballot, Time)> {
+        self.entries.iter().filter_map(move |(key, e)| e.live(now).map(|(b, until)| (key, b, until - now)))
+    }
+
+    /// Answers a question, and sends word to others where a key became free.
+    pub fn ask(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        sum: u64,
+        ask: &Ask,
+        out: &mut Vec<(SocketAddr, Answer)>,
+    ) {
+        let mut say = |to, ballot, word| {
+            out.push((to, Answer { key: ask.key.clone(), ballot, turn: ask.turn, wish: ask.wish, word }));
+        };
+        if sum != self.terms.sum() {
+            return say(from, ask.ballot, Word::Elsewhere(self.terms.sum()));
+        }
+        if let Some(left) = self.abstains(now) {
+            return say(from, ask.ballot, Word::Abstains(left));
+        }
+        if !self.entries.contains_key(&ask.key) && self.entries.len() >= KEYS && !self.forget(now) {
+            return say(from, ask.ballot, Word::Full);
+        }
+        let floor = self.floor;
+        let entry = self.entries.entry(ask.key.clone()).or_default();
+        match ask.wish {
+            Wish::Prepare => {
+                let word = entry.prepare(now, ask.ballot, floor, &self.terms);
+                if matches!(word, Word::Busy(_)) {
+                    entry.wait(ask.ballot.life, from);
+                }
+                say(from, ask.ballot, word);
+            }
+            Wish::Propose => say(from, ask.ballot, entry.propose(now, ask.ballot, floor, &self.terms)),
+            Wish::Release => {
+                entry.waiting.retain(|(life, _)| *life != ask.ballot.life);
+                if entry.promised == Some(ask.ballot) {
+                    entry.reserved = Time::ZERO;
+                }
+                if entry.accepted.is_some_and(|(b, _)| b == ask.ballot) {
+                    entry.accepted = None;
+                }
+                if entry.live(now).is_none() && entry.reserved <= now && !entry.waiting.is_empty() {
+                    let (life, to) = entry.waiting.remove(0);
+                    say(to, Ballot { number: ask.ballot.number, life }, Word::Free);
+                }
+            }
+        }
+    }
+
+    /// Makes room: of a key that nobody has, the floor keeps all that matters. False: all are somebody's.
+    fn forget(&mut self, now: Time) -> bool {
+        let free = |e: &Entry| e.live(now).is_none() && e.reserved <= now;
+        let Some(key) = self.entries.iter().find(|(_, e)| free(e)).map(|(k, _)| k.clone()) else {
+            return false;
+        };
+        let promised = self.entries.remove(&key).and_then(|e| e.promised);
+        self.floor = self.floor.max(promised.map_or(0, |b| b.number));
+        true
+    }
+}
+
+impl Entry {
+    fn wait(&mut self, life: Life, from: SocketAddr) {
+        if self.waiting.len() < WAITING && !self.waiting.iter().any(|(l, _)| *l == life) {
+            self.waiting.push((life, from));
+        }
+    }
+
+    fn prepare(&mut self, now: Time, ballot: Ballot, floor: u64, terms: &Terms) -> Word {
+        if self.promised == Some(ballot) && terms.safeguards.promises {
+            return Word::Promised;
+        }
+        if let Some((_, until)) = self.live(now).filter(|(b, _)| b.life != ballot.life) {
+            return Word::Busy(until - now);
+        }
+        let promised = self.promised.map_or(0, |p| p.number).max(floor);
+        if ballot.number <= promised && terms.safeguards.promises {
+            return Word::Above(promised);
+        }
+        if self.reserved > now && self.promised.is_some_and(|p| p.life != ballot.life) {
+            return Word::Busy(self.reserved - now);
+        }
+        (self.promised, self.reserved) = (Some(ballot), now + terms.round);
+        Word::Promised
+    }
+
+    fn propose(&mut self, now: Time, ballot: Ballot, floor: u64, terms: &Terms) -> Word {
+        let above = |p: Ballot| ballot.number > p.number || ballot == p;
+        let fits = ballot.number > floor && self.promised.is_none_or(above);
+        if !fits && terms.safeguards.promises {
+            return Word::Above(self.promised.map_or(0, |p| p.number).max(floor));
+        }
+        if let Some((_, until)) = self.live(now).filter(|(b, _)| b.life != ballot.life) {
+            if terms.safeguards.promises {
+                return Word::Busy(until - now);
+            }
+        }
+        self.promised = Some(ballot);
+        self.reserved = Time::ZERO;
+        self.accepted = Some((ballot, now + terms.ttl));
+        self.waiting.retain(|(life, _)| *life != ballot.life);
+        Word::Accepted
+    }
+}
