Node: leases by a [lease] table, birchswitch lease run, and their proof among processes

Voters and candidates run through the members' socket on a lane of their own, by the clock since boot. Operators' calls LEASES, LEASE and ENDLEASE; lease run waits, runs a command in a group of its own with token and time, ends it before the guard does. Nothing of it is opened without the table.

--- a/crates/cluster-host/src/lib.rs
+++ b/crates/cluster-host/src/lib.rs
@@ -8,7 +8,7 @@
 
 mod settings;
 
-pub use settings::{Compiled, Table, Wrong};
+pub use settings::{Compiled, Span, Table, Wrong};
 
 use birchswitch_cluster::ring::Place;
 use birchswitch_cluster::{
@@ -71,8 +71,12 @@
     earlier: Notify,
     place: Cell<Option<Place>>,
     ring: bool,
+    lanes: RefCell<Vec<(u8, Rc<Lane>)>>,
 }
 
+/// Takes what came for another part of the program, and whence.
+pub type Lane = dyn Fn(SocketAddr, &[u8]);
+
 impl Cluster {
     /// Binds the socket; nothing is sent before [`Cluster::run`]. Has to be called inside a runtime.
     pub fn open(compiled: &Compiled, who: &Identity) -> Result<Rc<Self>, ClusterError> {
@@ -106,6 +110,7 @@
             earlier: Notify::new(),
             place: Cell::new(None),
             ring: compiled.ring,
+            lanes: RefCell::default(),
         }))
     }
 
@@ -153,6 +158,10 @@
             match action {
                 // What does not go is lost, as on the way.
                 Action::Send { to, bytes } => drop(self.socket.try_send_to(&bytes, to)),
+                Action::Carried { from, lane, bytes } => {
+                    let takes = self.lanes.borrow().iter().find(|l| l.0 == lane).map(|l| l.1.clone());
+                    takes.iter().for_each(|takes| takes(from, &bytes));
+                }
                 Action::Changed(change) => self.log(&change),
             }
         }
@@ -181,6 +190,16 @@
         self.earlier.notify_one();
     }
 
+    /// From now on what comes on that lane is handed over.
+    pub fn open_lane(&self, lane: u8, takes: Rc<Lane>) {
+        self.lanes.borrow_mut().push((lane, takes));
+    }
+
+    /// Sends something to another part of a program, once.
+    pub fn carry(&self, to: SocketAddr, lane: u8, bytes: Vec<u8>) {
+        self.handle(Event::Carry { to, lane, bytes });
+    }
+
     /// Says farewell. False: it was no member any more.
     pub fn leave(&self) -> bool {
         let member = self.core.borrow().standing() != Standing::Gone;
--- a/crates/cluster-host/src/settings.rs
+++ b/crates/cluster-host/src/settings.rs
@@ -12,6 +12,13 @@
 #[serde(transparent)]
 pub struct Span(#[serde(with = "humantime_serde")] Duration);
 
+impl Span {
+    /// The time.
+    pub fn time(self) -> Duration {
+        self.0
+    }
+}
+
 /// The table as it is written.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -43,6 +43,15 @@
         /// What.
         bytes: Vec<u8>,
     },
+    /// Carry this to another part of a program, once, with no promise that it arrives. What is too long for a datagram is dropped.
+    Carry {
+        /// Where to.
+        to: SocketAddr,
+        /// For which part.
+        lane: u8,
+        /// What.
+        bytes: Vec<u8>,
+    },
     /// Say farewell; nothing more is said after it.
     Leave,
 }
@@ -57,6 +66,15 @@
         /// All of it.
         bytes: Vec<u8>,
     },
+    /// This came for another part of the program, from whoever sends there.
+    Carried {
+        /// Whence.
+        from: SocketAddr,
+        /// For which part.
+        lane: u8,
+        /// What.
+        bytes: Vec<u8>,
+    },
     /// Something changed, for logs and for those that read the view.
     Changed(Change),
 }
@@ -225,6 +243,7 @@
             Event::Wake => {}
             Event::Received { from, bytes } => self.received(now, from, &bytes, actions),
             Event::Tell { topic, bytes } => self.tell(topic, bytes),
+            Event::Carry { to, lane, bytes } => self.carry(to, lane, bytes, actions),
             Event::Leave => return self.leave(actions),
         }
         if !self.gone {
@@ -326,6 +345,9 @@
             }
             _ => self.joining.stranger(from),
         }
+        if let Body::Carried { lane, bytes } = message.body {
+            return actions.push(Action::Carried { from, lane, bytes });
+        }
         // What a datagram says of its sender makes it no better known at once.
         let most = if known { wire::LONGEST } else { bytes.len() };
         self.answer(now, from, most, &message, actions);
@@ -625,6 +647,13 @@
         self.dispatch(to, &message, actions);
     }
 
+    fn carry(&mut self, to: SocketAddr, lane: u8, bytes: Vec<u8>, actions: &mut Vec<Action>) {
+        let message = self.message(Body::Carried { lane, bytes });
+        if wire::room(&self.settings.cluster, &message) > 0 {
+            self.dispatch(to, &message, actions);
+        }
+    }
+
     pub(crate) fn dispatch(&mut self, to: SocketAddr, message: &Message, actions: &mut Vec<Action>) {
         let bytes = wire::encode(&self.settings.cluster, message);
         self.counts.sent[0] += 1;
--- a/crates/cluster/src/wire.rs
+++ b/crates/cluster/src/wire.rs
@@ -120,6 +120,13 @@
     },
     /// What I hold where we differ, in the news.
     Records,
+    /// For another part of the program: membership reads none of it.
+    Carried {
+        /// Which part.
+        lane: u8,
+        /// Its own.
+        bytes: Vec<u8>,
+    },
 }
 
 /// A message. News are separate pieces, so that one of an unknown kind costs that one alone.
--- a/crates/figures/src/lib.rs
+++ b/crates/figures/src/lib.rs
@@ -18,6 +18,8 @@
 //! | `app_cluster_datagrams{way}`, `app_cluster_bytes{way}` | counter | ... datagrams between nodes, `sent` and `received` |
 //! | `app_cluster_dropped` | counter | ... of these, dropped: broken, foreign, of another version |
 //! | `app_cluster_suspicions`, `app_cluster_refutations`, `app_cluster_verdicts` | counter | ... others suspected, own death refuted, others declared dead by this node |
+//! | `app_leases{state}` | gauge | with `[lease]`: leases `held` and `waiting` at this node |
+//! | `app_lease_granted`, `app_lease_lost`, `app_lease_refused`, `app_lease_votes` | counter | ... granted to this node, lost without being given up, tries that came to nothing, grants voted for |
 //! | `app_cluster_health` | gauge | ... how badly this node hears others: 0 (well) to 8 |
 //! | `app_sighup_applied`, `app_sighup_rejected` | counter | configurations read again: taken up, turned down |
 
@@ -69,6 +71,7 @@
     /// Configurations read again and turned down.
     pub reload_failed: IntCounter,
     cluster: OnceCell<Cluster>,
+    leases: OnceCell<LeaseGauges>,
 }
 
 /// What a node knows and counts of the others.
@@ -88,6 +91,37 @@
     pub health: u32,
 }
 
+/// What a node knows and counts of leases.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeaseFigures {
+    /// Held at this node.
+    pub held: usize,
+    /// Waited for at this node.
+    pub waiting: usize,
+    /// Granted, lost, refused, voted for.
+    pub told: [u64; 4],
+}
+
+struct LeaseGauges {
+    leases: IntGaugeVec,
+    told: [IntCounter; 4],
+}
+
+impl LeaseGauges {
+    fn new(registry: &Registry) -> Result<Self, FiguresError> {
+        let leases = IntGaugeVec::new(Opts::new("leases", "Leases at this node."), &["state"])?;
+        registry.register(Box::new(leases.clone()))?;
+        let told = [
+            IntCounter::new("lease_granted", "Leases granted to this node.")?,
+            IntCounter::new("lease_lost", "Leases lost without being given up.")?,
+            IntCounter::new("lease_refused", "Tries for leases that came to nothing.")?,
+            IntCounter::new("lease_votes", "Grants that this node voted for, extensions included.")?,
+        ];
+        told.iter().try_for_each(|c| registry.register(Box::new(c.clone())))?;
+        Ok(LeaseGauges { leases, told })
+    }
+}
+
 struct Cluster {
     members: IntGaugeVec,
     datagrams: IntCounterVec,
@@ -180,6 +214,7 @@
             reloaded: counter("sighup_applied", "Configurations read again and taken up.")?,
             reload_failed: counter("sighup_rejected", "Configurations read again and turned down.")?,
             cluster: OnceCell::new(),
+            leases: OnceCell::new(),
             registry,
         }))
     }
@@ -204,6 +239,21 @@
         }
     }
 
+    /// What is known and counted of leases. These figures are there from the first call on.
+    pub fn leases(&self, now: &LeaseFigures) {
+        if self.leases.get().is_none() {
+            if let Ok(leases) = LeaseGauges::new(&self.registry) {
+                let _ = self.leases.set(leases);
+            }
+        }
+        if let Some(leases) = self.leases.get() {
+            leases.leases.with_label_values(&["held"]).set(now.held as i64);
+            leases.leases.with_label_values(&["waiting"]).set(now.waiting as i64);
+            let all = leases.told.iter().zip(now.told);
+            all.for_each(|(counter, value)| counter.inc_by(value.saturating_sub(counter.get())));
+        }
+    }
+
     /// All of them, a line each, with what they are about in comments between.
     pub fn text(&self) -> String {
         // The encoder fails on families without a name or a value; there are none.
--- a/crates/lab/src/members/mod.rs
+++ b/crates/lab/src/members/mod.rs
@@ -377,6 +377,7 @@
         for action in actions.drain(..) {
             match action {
                 Action::Send { to, bytes } => self.carry(n, to, bytes),
+                Action::Carried { .. } => {}
                 Action::Changed(change) if !(self.keep)(&change) => {}
                 Action::Changed(change) => self.noted.push(Noted { at: self.now, by: n, change }),
             }
--- a/crates/operations/src/call.rs
+++ b/crates/operations/src/call.rs
@@ -14,6 +14,17 @@
     Members,
     /// Say farewell to the fleet's nodes.
     Leave,
+    /// The leases that this node knows of.
+    Leases,
+    /// Wait for a lease and hold it for as long as the caller stays.
+    Lease {
+        /// Its name.
+        name: String,
+        /// How many may hold it at once.
+        slots: u16,
+    },
+    /// End what is done under leases of that name.
+    EndLease(String),
     /// Take this server out.
     Suspend(String),
     /// Use this server again.
@@ -30,7 +41,7 @@
     #[error("the call is longer than {LONGEST} bytes")]
     TooLong,
     /// Its first word is none of those known.
-    #[error("unknown call; wanted: STATUS, METRICS, MEMBERS, LEAVE, SUSPEND ID or RESTORE ID")]
+    #[error("unknown call; wanted: STATUS, METRICS, MEMBERS, LEAVE, LEASES, LEASE NAME SLOTS, ENDLEASE NAME, SUSPEND ID or RESTORE ID")]
     Unknown,
     /// It is about a server and names none, or has a word too many.
     #[error("{0} wants {1}")]
@@ -57,6 +68,18 @@
             "METRICS" => alone("METRICS", Call::Figures),
             "MEMBERS" => alone("MEMBERS", Call::Members),
             "LEAVE" => alone("LEAVE", Call::Leave),
+            "LEASES" => alone("LEASES", Call::Leases),
+            "LEASE" => match rest[..] {
+                [name, slots] => match slots.parse() {
+                    Ok(slots) if slots > 0 => Ok(Call::Lease { name: name.to_owned(), slots }),
+                    _ => Err(CallError::Words("LEASE", "a name and a number of slots from 1 to 65535")),
+                },
+                _ => Err(CallError::Words("LEASE", "a name and a number of slots from 1 to 65535")),
+            },
+            "ENDLEASE" => match rest[..] {
+                [name] => Ok(Call::EndLease(name.to_owned())),
+                _ => Err(CallError::Words("ENDLEASE", "the name of one lease")),
+            },
             "SUSPEND" => about("SUSPEND", Call::Suspend),
             "RESTORE" => about("RESTORE", Call::Restore),
             _ => Err(CallError::Unknown),
@@ -78,6 +101,10 @@
         assert_eq!(parse("RESTORE s-1"), Ok(Call::Restore("s-1".to_owned())));
         assert_eq!(parse("MEMBERS"), Ok(Call::Members));
         assert_eq!(parse("LEAVE"), Ok(Call::Leave));
+        assert_eq!(parse("LEASE a 2"), Ok(Call::Lease { name: "a".to_owned(), slots: 2 }));
+        for wrong in ["LEASE", "LEASE a", "LEASE a 0", "LEASE a 65536", "LEASE a 1 b"] {
+            assert!(matches!(parse(wrong), Err(CallError::Words("LEASE", _))), "{wrong}");
+        }
         assert_eq!(parse("LEAVE now"), Err(CallError::Words("LEAVE", "nothing more")));
         assert_eq!(parse("STATUS now"), Err(CallError::Words("STATUS", "nothing more")));
         assert_eq!(parse("SUSPEND"), Err(CallError::Words("SUSPEND", "the id of one server")));
--- a/crates/operations/src/desk.rs
+++ b/crates/operations/src/desk.rs
@@ -30,10 +30,24 @@
     fn members(&self) -> Result<String, String>;
     /// Says farewell to the fleet's nodes. The node goes on serving.
     fn leave(&self) -> Result<String, String>;
+    /// The leases that this node knows of, a line each; or why there are none.
+    fn leases(&self) -> Result<String, String>;
+    /// Tells whoever holds leases of that name at this node to end what they do.
+    fn end_lease(&self, name: &str) -> Result<String, String>;
+    /// Waits for a lease and holds it until what this returns is released or dropped.
+    fn lease(&self, name: &str, slots: u16) -> Result<Box<dyn Session>, String>;
     /// Takes a server out, or uses it again. A yes is binding from then on.
     fn set_out(&self, server: &str, out: bool) -> Result<String, String>;
 }
 
+/// A call that lasts. Whoever made it asks again and again by a line; one that is silent for 10 s is gone.
+pub trait Session {
+    /// What to tell now.
+    fn state(&self) -> String;
+    /// The caller says that it is done with it.
+    fn release(self: Box<Self>);
+}
+
 /// Takes calls for good. Runs on a `LocalSet`.
 pub async fn serve<N: Node + 'static>(listener: TcpListener, node: Rc<N>) {
     let mut held: VecDeque<AbortHandle> = VecDeque::new();
@@ -57,6 +71,14 @@
     let Ok(line) = timeout(PATIENCE, read_line(&mut stream)).await else { return Ok(()) };
     let Some(line) = line? else { return Ok(()) };
     let answer = match Call::parse(&line) {
+        Ok(Call::Lease { name, slots }) => match node.lease(&name, slots) {
+            Ok(session) => {
+                // It lasts, and must not be taken for a caller that dawdles.
+                spawn_local(last(stream, session));
+                return Ok(());
+            }
+            Err(error) => told(Err(error)),
+        },
         Ok(call) => carry_out(node, call),
         Err(error) => told(Err(error.to_string())),
     };
@@ -67,8 +89,30 @@
     timeout(WRITE, write).await?
 }
 
+/// Until the caller goes: every line of its is answered with the state as it is then.
+async fn last(mut stream: TcpStream, session: Box<dyn Session>) {
+    let mut buffer = [0; 64];
+    loop {
+        let state = session.state() + "\n";
+        if !matches!(timeout(WRITE, stream.write_all(state.as_bytes())).await, Ok(Ok(()))) {
+            return;
+        }
+        match timeout(PATIENCE, stream.read(&mut buffer)).await {
+            Ok(Ok(length)) if buffer[..length].starts_with(b"RELEASE") => return session.release(),
+            Ok(Ok(length)) if length > 0 => {}
+            _ => return,
+        }
+    }
+}
+
 fn carry_out(node: &impl Node, call: Call) -> String {
     match call {
+        Call::Lease { name, slots } => told(node.lease(&name, slots).map(|s| s.state())),
+        Call::EndLease(name) => told(node.end_lease(&name)),
+        Call::Leases => match node.leases() {
+            Ok(lines) => lines + "EOT\n",
+            error => told(error),
+        },
         Call::Status => told(node.status()),
         Call::Figures => node.figures() + "EOT\n",
         Call::Members => match node.members() {
--- /dev/null
+++ b/crates/standin/src/rig/leases.rs
@@ -0,0 +1,274 @@
+//! Leases on the rig: a contender at each node that acts for as long as it may, and what must hold of all acts and holders.
+
+use super::history::{now, Did, History, Nanos};
+use super::{LeasePlan, Plan, Rig};
+use crate::script::Script;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+/// What all contenders want.
+const NAME: &str = "task";
+/// Between a contender's questions.
+const POLL: Duration = Duration::from_millis(20);
+/// For an answer: shorter than a lease, so that a paused node is noticed.
+const PATIENCE: Duration = Duration::from_millis(300);
+/// Of a contender that is not told otherwise.
+const KEEPS: Duration = Duration::from_millis(1500);
+
+/// What one contender did under one grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Act {
+    /// At which node.
+    pub place: usize,
+    /// With which token, the newest that it was told.
+    pub token: u64,
+    /// From when ...
+    pub begin: Nanos,
+    /// ... to when.
+    pub end: Nanos,
+}
+
+/// A run.
+pub struct Case {
+    /// How it is called.
+    pub name: &'static str,
+    /// Nodes, of which the first so many vote.
+    pub nodes: [usize; 2],
+    /// What goes wrong.
+    pub script: &'static str,
+    /// Rates of nodes' lease clocks, in turn.
+    pub rates: &'static [f64],
+    /// Safeguards to go without.
+    pub without: &'static [&'static str],
+}
+
+const SOUND: Case = Case { name: "", nodes: [7, 5], script: "", rates: &[], without: &[] };
+
+/// What must hold: no two act at once, whatever the script does. Leases live for 2 s.
+pub const CASES: &[Case] = &[
+    Case { name: "lease-calm", script: "8s wire lose 0", ..SOUND },
+    Case { name: "lease-pauses", script: "1s n0 pause 6s\n3s n5 pause 6s\n5s n1-n2 pause 3s\n9s n6 pause 6s\n12s nodes pause 3s\n18s wire lose 0", ..SOUND },
+    Case {
+        name: "lease-deaths",
+        script: "2s n5-n6 die\n3s n0 die\n4s n5-n6 start\n4s n0 start\n7s n0-n4 die\n7s n0-n4 start\n13s nodes die\n13s nodes start\n20s wire lose 0",
+        ..SOUND
+    },
+    Case {
+        name: "lease-wire",
+        script: "0s wire lose 0.3\n0s wire double 0.3\n4s wire delay 3s\n9s wire delay 0s\n9s wire cut n5 n0-n4\n12s wire heal\n\
+                 12s wire cut n0-n4 n6\n15s wire heal\n15s wire split n0-n1 n2-n6\n18s wire heal\n20s wire lose 0",
+        ..SOUND
+    },
+    Case {
+        name: "lease-clocks",
+        script: "2s wire cut n5-n6 n0-n4\n5s wire heal\n7s wire cut n0-n4 n0-n6\n10s wire heal\n12s wire cut n0-n6 n0-n4\n15s wire heal\n16s wire lose 0",
+        rates: &[1.04, 0.96, 1.04, 0.96, 1.04, 0.96, 0.96],
+        ..SOUND
+    },
+];
+
+/// What a run came to.
+pub struct Outcome {
+    /// What did not hold.
+    pub wrong: Vec<String>,
+    /// All acts, by their begin.
+    pub acts: Vec<Act>,
+    /// Grants and losses that nodes wrote down.
+    pub grants: usize,
+    /// See there.
+    pub lost: usize,
+    /// The longest time in which nobody acted.
+    pub gap: Duration,
+    /// All of it.
+    pub history: History,
+}
+
+/// Plays a case.
+pub async fn play(case: &Case, binary: PathBuf, seed: u64) -> Result<Outcome, super::cases::CaseError> {
+    let [nodes, voters] = case.nodes;
+    let mut script = Script::parse(case.script, 0, nodes)?;
+    script.seed = seed;
+    let lease = LeasePlan {
+        voters,
+        lines: "ttl = \"2s\"\nround = \"200ms\"".to_owned(),
+        rates: case.rates.to_vec(),
+        without: case.without.to_vec(),
+    };
+    let plan = Plan {
+        binary,
+        nodes,
+        spare: 0,
+        zones: 1,
+        cluster: String::new(),
+        lease: Some(lease.clone()),
+        servers: Vec::new(),
+        streams: false,
+        script,
+    };
+    let mut rig = Rig::start(plan).await?;
+    rig.agreed(Duration::from_secs(60)).await?;
+    let acts: Rc<RefCell<Vec<Act>>> = Rc::default();
+    let mut contenders = JoinSet::new();
+    for place in 0..nodes {
+        let (acts, operators) = (acts.clone(), rig.desks());
+        contenders.spawn_local(async move { contend(place, &operators, &acts).await });
+    }
+    let granted = |h: &History| h.lines.iter().filter(|l| l.kind == "granted").count();
+    let first = |h: &History| granted(h) > 0;
+    rig.until("a first grant", Duration::from_secs(20), first, |_| "none".to_owned()).await?;
+    rig.play(|_| {}).await?;
+    let before = granted(&rig.history());
+    let again = |h: &History| granted(h) > before;
+    rig.until("a grant after all faults", Duration::from_secs(20), again, |_| "none".to_owned()).await?;
+    contenders.shutdown().await;
+    let history = rig.history();
+    rig.close().await?;
+    let mut acts = acts.take();
+    acts.sort_by_key(|a| a.begin);
+    let mut wrong = overlaps(&acts);
+    wrong.extend(holders(&history, &lease));
+    let mut gap = 0;
+    for pair in acts.windows(2) {
+        gap = gap.max(pair[1].begin.saturating_sub(pair[0].end));
+    }
+    let count = |kind| history.lines.iter().filter(|l| l.kind == kind).count();
+    let (grants, lost, gap) = (count("granted"), count("lost"), Duration::from_nanos(gap));
+    Ok(Outcome { wrong, acts, grants, lost, gap, history })
+}
+
+/// Asks for the lease at one node, acts for as long as it may, gives it back after a while, and begins again.
+async fn contend(place: usize, operators: &super::Desks, acts: &RefCell<Vec<Act>>) {
+    loop {
+        let address = operators.borrow()[place];
+        if let Some(address) = address {
+            session(place, address, acts).await;
+        }
+        sleep(POLL).await;
+    }
+}
+
+async fn session(place: usize, address: SocketAddr, acts: &RefCell<Vec<Act>>) {
+    let Ok(Ok(stream)) = timeout(PATIENCE, TcpStream::connect(address)).await else { return };
+    let mut stream = BufReader::new(stream);
+    let mut question = format!("LEASE {NAME} 1\n");
+    // The act under way, by its number, and by when it has to be over.
+    let mut act: Option<(usize, Nanos)> = None;
+    loop {
+        let asked = now();
+        let mut line = String::new();
+        let exchange = async {
+            stream.write_all(question.as_bytes()).await?;
+            stream.read_line(&mut line).await
+        };
+        let answered = timeout(PATIENCE, exchange).await;
+        question = "\n".to_owned();
+        let words: Vec<&str> = line.split_ascii_whitespace().collect();
+        let told = match (answered, &words[..]) {
+            (Ok(Ok(_)), ["HELD", token, _, left]) => token.parse().ok().zip(left.parse::<u64>().ok()),
+            (Ok(Ok(_)), ["WAITING", ..]) if act.is_none() => {
+                sleep(POLL).await;
+                continue;
+            }
+            _ => None,
+        };
+        let Some((token, left)) = told else {
+            // Nothing more is heard: all the time that was allowed is used.
+            if let Some((n, guard)) = act {
+                sleep(Duration::from_nanos(guard.saturating_sub(now()))).await;
+                // What was allowed is what counts, not when this task woke.
+                acts.borrow_mut()[n].end = guard;
+            }
+            return;
+        };
+        let guard = asked + left * 1_000_000;
+        let at = now();
+        match &mut act {
+            None if at < guard => {
+                acts.borrow_mut().push(Act { place, token, begin: at, end: guard });
+                act = Some((acts.borrow().len() - 1, guard));
+            }
+            None => {}
+            Some((n, until)) => {
+                *until = guard.max(*until);
+                let mut acts = acts.borrow_mut();
+                (acts[*n].token, acts[*n].end) = (token, *until);
+            }
+        }
+        if let Some((n, _)) = act {
+            let begin = acts.borrow()[n].begin;
+            if at > begin + KEEPS.as_nanos() as u64 {
+                // The act is over before the lease is given back.
+                acts.borrow_mut()[n].end = now();
+                let _ = timeout(PATIENCE, stream.write_all(b"RELEASE\n")).await;
+                return;
+            }
+        }
+        sleep(POLL).await;
+    }
+}
+
+/// Acts that overlap, and tokens that do not rise. Acts are sorted by their begins.
+pub fn overlaps(acts: &[Act]) -> Vec<String> {
+    let mut wrong = Vec::new();
+    for (n, act) in acts.iter().enumerate() {
+        for earlier in acts[..n].iter().filter(|e| e.place != act.place || e.token != act.token) {
+            if act.begin < earlier.end {
+                let ms = (earlier.end - act.begin) / 1_000_000;
+                wrong.push(format!(
+                    "n{} began with token {} while n{} went on with {} for {ms} ms more",
+                    act.place, act.token, earlier.place, earlier.token
+                ));
+            }
+            if act.token <= earlier.token {
+                wrong.push(format!("token {} came after {}", act.token, earlier.token));
+            }
+        }
+    }
+    wrong
+}
+
+/// Processes that hold at once, by their own lines and the rig's record.
+pub fn holders(history: &History, lease: &LeasePlan) -> Vec<String> {
+    // Of each grant: from when to when.
+    let mut spans: Vec<(Nanos, Nanos, usize)> = Vec::new();
+    let mut open: BTreeMap<(usize, usize), usize> = BTreeMap::new();
+    for line in history.lines.iter().filter(|l| l.text("lease").starts_with(NAME)) {
+        let who = (line.place, line.start);
+        let until = line.at + (line.number("left_ms") as f64 / lease.rate(line.place) * 1e6) as u64;
+        match line.kind.as_str() {
+            "granted" => {
+                open.insert(who, spans.len());
+                spans.push((line.at, until, line.place));
+            }
+            "extended" => open.get(&who).iter().for_each(|n| spans[**n].1 = until),
+            "released" => open.remove(&who).iter().for_each(|n| spans[*n].1 = spans[*n].1.min(line.at)),
+            _ => {}
+        }
+    }
+    // Who was killed holds nothing more.
+    for (at, did) in &history.did {
+        if let Did::Ended(place, _) = did {
+            let theirs = spans.iter_mut().filter(|s| s.2 == *place && s.0 <= *at);
+            theirs.for_each(|s| s.1 = s.1.min(*at));
+        }
+    }
+    spans.sort();
+    let mut wrong = Vec::new();
+    for pair in spans.windows(2) {
+        let ((_, until, one), (from, _, other)) = (pair[0], pair[1]);
+        // Lines are written a moment after the fact, and tell whole milliseconds.
+        if from + 5_000_000 < until {
+            let ms = (until - from) / 1_000_000;
+            wrong.push(format!("n{other} holds while n{one} does for {ms} ms more"));
+        }
+    }
+    wrong
+}
--- a/crates/standin/src/rig/mod.rs
+++ b/crates/standin/src/rig/mod.rs
@@ -7,6 +7,7 @@
 pub mod cases;
 pub mod checker;
 pub mod history;
+pub mod leases;
 pub mod streams;
 pub mod wire;
 
@@ -46,6 +47,8 @@
     pub zones: usize,
     /// Further lines of the `[cluster]` table.
     pub cluster: String,
+    /// Leases, if nodes take part in them.
+    pub lease: Option<LeasePlan>,
     /// Servers that discovery tells of. None: twenty at addresses where nobody listens.
     pub servers: Vec<SocketAddr>,
     /// Connections pass the rig too: only then can a script cut `servers`, `discovery` and `clients`.
@@ -54,6 +57,29 @@
     pub script: Script,
 }
 
+/// What nodes are told of leases.
+#[derive(Clone, Debug)]
+pub struct LeasePlan {
+    /// The first so many nodes vote.
+    pub voters: usize,
+    /// Further lines of the `[lease]` table.
+    pub lines: String,
+    /// Rates of nodes' lease clocks, in turn; true time where there is none.
+    pub rates: Vec<f64>,
+    /// Safeguards to go without, as `drill.without` names them.
+    pub without: Vec<&'static str>,
+}
+
+impl LeasePlan {
+    /// The rate of a node's lease clock.
+    pub fn rate(&self, node: usize) -> f64 {
+        match self.rates.len() {
+            0 => 1.0,
+            turns => self.rates[node % turns],
+        }
+    }
+}
+
 /// Why a rig can't go on. What a run was is in `History`; this is trouble with the rig itself.
 #[derive(Debug, thiserror::Error)]
 pub enum RigError {
@@ -125,6 +151,9 @@
     listens: watch::Sender<Option<SocketAddr>>,
 }
 
+/// Where operators call each place's process now.
+pub type Desks = Rc<RefCell<Vec<Option<SocketAddr>>>>;
+
 /// A rig that runs. Has to live on a `LocalSet`.
 pub struct Rig {
     plan: Plan,
@@ -132,6 +161,7 @@
     streams: Streams,
     around: Vec<Around>,
     processes: Vec<Option<Process>>,
+    desks: Desks,
     starts: Vec<usize>,
     record: Rc<Record>,
     chance: Chance,
@@ -158,6 +188,7 @@
             wire,
             streams,
             around,
+            desks: Rc::new(RefCell::new(vec![None; places])),
             processes: (0..places).map(|_| None).collect(),
             starts: vec![0; places],
             record: Rc::default(),
@@ -207,7 +238,19 @@
             "[log]\njson = \"stderr\"\n[cluster]\nname = \"rig\"\nbind = \"{}:0\"\nadvertise = \"{}\"\nseeds = {}\nzone = \"z{zone}\"\n{}\n",
             wire::host(place, false), at(place)?, json!(seeds), self.plan.cluster
         );
-        let operator = ConfigFile::new(&operator).map_err(io("an operator's file"))?;
+        let lease = match &self.plan.lease {
+            Some(lease) => {
+                let voters = (0..lease.voters).map(at).collect::<Result<Vec<_>, _>>()?;
+                let (rate, without) = (lease.rate(node), json!(lease.without));
+                format!(
+                    "[lease]\nvoters = {}\n{}\ndrill = {{ rate = {rate:?}, without = {without} }}\n",
+                    json!(voters),
+                    lease.lines
+                )
+            }
+            None => String::new(),
+        };
+        let operator = ConfigFile::new(&(operator + &lease)).map_err(io("an operator's file"))?;
         let path = operator.path().display().to_string();
         self.did(Did::Started(place, name.clone()));
         let mut child = process::start(&self.plan.binary, &file, &[("GW_OPERATOR", &path)])
@@ -250,6 +293,7 @@
         };
         self.around[place].listens.send_replace(Some(listen));
         let operators = Some(operators);
+        self.desks.borrow_mut()[place] = operators;
         self.processes[place] = Some(Process { child, listen, operators, log, _files: [file, operator] });
         Ok(())
     }
@@ -311,6 +355,11 @@
         self.processes[place].as_ref().and_then(|p| p.operators)
     }
 
+    /// Where operators call each place's process, as it changes.
+    pub fn desks(&self) -> Desks {
+        self.desks.clone()
+    }
+
     /// The id of the process at a place.
     pub fn pid(&self, place: usize) -> Option<u32> {
         self.processes[place].as_ref().and_then(|p| p.child.id())
@@ -343,6 +392,7 @@
         }
         self.wire.runs_at(place, None);
         self.around[place].listens.send_replace(None);
+        self.desks.borrow_mut()[place] = None;
         match ended {
             Ok(Ok(status)) if silent || status.success() => Ok(()),
             other => {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -4,6 +4,8 @@
 #![deny(missing_docs)]
 
 mod config;
+mod lease_run;
+mod leases;
 mod lists;
 mod log;
 mod members;
@@ -14,7 +16,9 @@
 use birchswitch_figures::Figures;
 use birchswitch_host::Host;
 use birchswitch_http::{Front, HttpUpstream, Limits, Phase, Room};
+use birchswitch_lease_host::Leases;
 use birchswitch_membership::{Directory, Discovery};
+use clap::{Parser, Subcommand};
 use config::{Config, RESERVED_SOCKETS};
 use std::error::Error;
 use std::process::ExitCode;
@@ -38,31 +42,44 @@
 /// Connections that the system holds until they are accepted.
 const BACKLOG: u32 = 1024;
 
+/// A reverse-proxy node. Without a command it runs, configured by variables (README.md).
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Read and check the whole configuration, and start nothing.
+    Check,
+    /// Leases for tasks of the whole fleet, asked of a running node.
+    #[command(subcommand)]
+    Lease(lease_run::Command),
+}
+
 fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let run = || -> Result<(), Box<dyn Error>> {
+    let command = Arguments::parse().command;
+    let run = || -> Result<ExitCode, Box<dyn Error>> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        if let Some(Command::Lease(lease)) = command {
+            return LocalSet::new().block_on(&runtime, lease_run::run(lease));
+        }
         let config = Config::from_env()?;
-        match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
-            [] => {}
-            ["check"] => {
-                let cluster =
-                    config.operator.cluster.as_ref().map(|c| format!(", cluster {}", c.settings.cluster));
-                let listeners = config.operator.thrift.len();
-                println!("fine: {listeners} Thrift listeners{}", cluster.unwrap_or_default());
-                return Ok(());
-            }
-            _ => return Err("wanted: no argument, or `check`".into()),
+        if matches!(command, Some(Command::Check)) {
+            let cluster =
+                config.operator.cluster.as_ref().map(|c| format!(", cluster {}", c.settings.cluster));
+            let listeners = config.operator.thrift.len();
+            println!("fine: {listeners} Thrift listeners{}", cluster.unwrap_or_default());
+            return Ok(ExitCode::SUCCESS);
         }
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        LocalSet::new().block_on(&runtime, run(config))
+        LocalSet::new().block_on(&runtime, run(config)).map(|()| ExitCode::SUCCESS)
     };
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("birchswitch: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    run().unwrap_or_else(|error| {
+        eprintln!("birchswitch: {error}");
+        ExitCode::FAILURE
+    })
 }
 
 async fn run(config: Config) -> Result<(), Box<dyn Error>> {
@@ -108,8 +125,10 @@
     let (phase, phases) = watch::channel(Phase::Serving);
     let cluster = config.operator.cluster.as_ref();
     let cluster = cluster.map(|c| members::open(c, &config.name, config.seed)).transpose()?;
-    let desk =
-        operations::Desk::open(config.ops, config.state, &host, &figures, phases.clone(), cluster.clone())?;
+    let leases = config.operator.lease.as_ref().zip(cluster.as_ref());
+    let leases = leases.map(|(lease, cluster)| Leases::open(lease, cluster, config.seed));
+    let fleet = (cluster.clone(), leases.clone());
+    let desk = operations::Desk::open(config.ops, config.state, &host, &figures, phases.clone(), fleet)?;
     let discovery = lists::follow(&host, config.discovery, config.known.as_ref(), asked);
     let reloading = host.clone();
     spawn_local(async move {
@@ -137,6 +156,7 @@
         placed.extend(listeners.iter().map(|l| l.host().clone() as Rc<dyn members::Placed>));
         members::run(cluster, &host, placed);
     }
+    leases.iter().for_each(|l| drop(spawn_local(l.clone().run())));
     if let Some(desk) = desk {
         listeners.iter().for_each(|l| desk.add(l.host().clone()));
         desk.serve()?;
@@ -164,11 +184,15 @@
         _ = interrupt.recv() => {}
     }
     host.log(format_args!("leaving"));
-    if let Some(cluster) = &cluster {
-        cluster.leave();
+    if let Some(leases) = &leases {
+        leases.end(None);
     }
     phase.send_replace(Phase::Leaving);
     tokio::time::sleep(LEAVE).await;
+    // Last, so that leases could still be given back.
+    if let Some(cluster) = &cluster {
+        cluster.leave();
+    }
     phase.send_replace(Phase::Closing);
     close.send_replace(true);
     // What was taken last is due within the longest deadline.
--- a/node/src/operations.rs
+++ b/node/src/operations.rs
@@ -4,7 +4,8 @@
 use birchswitch_figures::Figures;
 use birchswitch_host::{Host, Upstream};
 use birchswitch_http::{HttpUpstream, Phase};
-use birchswitch_operations::{serve, Bans, Node};
+use birchswitch_lease_host::Leases;
+use birchswitch_operations::{serve, Bans, Node, Session};
 use std::cell::RefCell;
 use std::error::Error;
 use std::net::SocketAddr;
@@ -43,6 +44,7 @@
     figures: Rc<Figures>,
     phase: watch::Receiver<Phase>,
     pub(crate) cluster: Option<Rc<Cluster>>,
+    pub(crate) leases: Option<Rc<Leases>>,
 }
 
 impl Desk {
@@ -54,7 +56,7 @@
         host: &Rc<Host<HttpUpstream>>,
         figures: &Rc<Figures>,
         phase: watch::Receiver<Phase>,
-        cluster: Option<Rc<Cluster>>,
+        (cluster, leases): (Option<Rc<Cluster>>, Option<Rc<Leases>>),
     ) -> Result<Option<Rc<Self>>, Box<dyn Error>> {
         let Some(address) = address else { return Ok(None) };
         let folder = state.map(|state| state.join("birchswitch").join("bans"));
@@ -67,6 +69,7 @@
             figures: figures.clone(),
             phase,
             cluster,
+            leases,
         };
         desk.add(host.clone());
         Ok(Some(Rc::new(desk)))
@@ -121,6 +124,7 @@
         self.figures.discovered.set(listed as i64);
         self.figures.ejected.set(out as i64);
         self.cluster.iter().for_each(|c| self.figures.cluster(&crate::members::figures(c)));
+        self.leases.iter().for_each(|l| self.figures.leases(&crate::leases::figures(l)));
         self.figures.text()
     }
 
@@ -135,6 +139,19 @@
         }
     }
 
+    fn leases(&self) -> Result<String, String> {
+        self.held().map(|l| l.text())
+    }
+
+    fn lease(&self, name: &str, slots: u16) -> Result<Box<dyn Session>, String> {
+        let hold = self.held()?.want(name, slots)?;
+        Ok(Box::new(crate::leases::Held(hold)))
+    }
+
+    fn end_lease(&self, name: &str) -> Result<String, String> {
+        Ok(format!("{} told to end", self.held()?.end(Some(name))))
+    }
+
     fn set_out(&self, server: &str, out: bool) -> Result<String, String> {
         let listed = self.followers.borrow().iter().any(|f| f.knows(server));
         let mut bans = self.bans.borrow_mut();
--- a/node/src/operator.rs
+++ b/node/src/operator.rs
@@ -1,10 +1,12 @@
 //! The operator's own file, beside what the platform tells: TOML, named by `GW_OPERATOR`. Without one, nothing of it is on.
 
 use birchswitch_cluster_host::{Compiled as Member, Table, Wrong};
+use birchswitch_lease_host::{Compiled as Lease, Table as LeaseTable};
 use birchswitch_thrift_proxy::{Compiled, Settings, SettingsError};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use toml::Spanned;
 
 /// Why the operator's file can't be used. One line each.
 #[derive(Debug, thiserror::Error)]
@@ -65,6 +67,7 @@
     #[serde(default)]
     thrift: Vec<Settings>,
     cluster: Option<Table>,
+    lease: Option<Spanned<LeaseTable>>,
     log: Option<Log>,
 }
 
@@ -102,6 +105,8 @@
     pub thrift: Vec<Compiled>,
     /// Membership among the nodes.
     pub cluster: Option<Member>,
+    /// Leases for tasks of the whole fleet.
+    pub lease: Option<Lease>,
     /// The structured log.
     pub log: Option<Log>,
 }
@@ -143,6 +148,12 @@
         })?;
         let cluster = file.cluster.map(Table::compile).transpose();
         let cluster = cluster.map_err(|Wrong { span, problem }| at(path, &text, span.start, problem))?;
+        if let (Some(lease), None) = (&file.lease, &cluster) {
+            let problem = "[lease] goes through the members' socket: it wants a [cluster] table".to_owned();
+            return Err(at(path, &text, lease.span().start, problem));
+        }
+        let lease = file.lease.map(|l| l.into_inner().compile()).transpose();
+        let lease = lease.map_err(|Wrong { span, problem }| at(path, &text, span.start, problem))?;
         let mut addresses = vec![listen];
         let mut thrift = Vec::new();
         for settings in file.thrift {
@@ -154,7 +165,7 @@
             let compiled = settings.compile(site, names);
             thrift.push(compiled.map_err(|source| OperatorError::Thrift { path: own(), source })?);
         }
-        let operator = Operator { thrift, cluster, log: file.log };
+        let operator = Operator { thrift, cluster, lease, log: file.log };
         let taken = operator.taken();
         for (what, wanted, left) in [
             ("descriptors", taken.sockets, budget.sockets / 2),
--- a/node/tests/members.rs
+++ b/node/tests/members.rs
@@ -29,6 +29,7 @@
         spare: 0,
         zones: 1,
         cluster: String::new(),
+        lease: None,
         servers: Vec::new(),
         streams: false,
         script,
