--- a/crates/cluster/src/settings.rs
+++ b/crates/cluster/src/settings.rs
@@ -41,14 +41,14 @@
 }
 
 impl Settings {
-    /// The settings that are meant for use: a death is known after about 3.5 s, a pause of 2 s is borne.
+    /// The settings that are meant for use: a death is known after about 3.2 s, a pause of 2 s is borne.
     pub fn new(cluster: impl Into<String>, seeds: Vec<SocketAddr>) -> Self {
         Settings {
             cluster: cluster.into(),
             seeds,
             probe: Duration::from_millis(400),
             timeout: Duration::from_millis(100),
-            suspicion: Duration::from_millis(2800),
+            suspicion: Duration::from_millis(2500),
             exchange: Duration::from_secs(5),
             forget: Duration::from_secs(24 * 3600),
             members: 8192,
--- a/crates/lab/src/fleets.rs
+++ b/crates/lab/src/fleets.rs
@@ -28,6 +28,18 @@
     /// Simulated seconds of each seed in which nobody dies
     #[arg(long, default_value_t = 120, value_parser = clap::value_parser!(u64).range(1..=1_000_000))]
     seconds: u64,
+    /// Leave out the baselines
+    #[arg(long)]
+    own: bool,
+    /// Only this part of datagrams lost
+    #[arg(long)]
+    loss: Option<f64>,
+}
+
+impl Arguments {
+    fn wants(&self, loss: f64, baseline: bool) -> bool {
+        !(self.own && baseline) && self.loss.is_none_or(|only| only == loss)
+    }
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
@@ -101,6 +113,7 @@
         .flat_map(|s| {
             [(*s, 0.0, false), (*s, 0.1, false), (*s, 0.3, false), (*s, 0.0, true), (*s, 0.3, true)]
         })
+        .filter(|c| a.wants(c.1, c.2))
         .collect();
     let rows = by_case(&cases, a.seeds, |(size, loss, careless), seed| {
         detection(size, a.kills as usize, loss, careless, seed)
@@ -133,6 +146,7 @@
     let cases: Vec<_> = sizes
         .iter()
         .flat_map(|s| faults.into_iter().flat_map(move |f| [(*s, f, false), (*s, f, true)]))
+        .filter(|c| a.wants(c.1 .0, c.2))
         .collect();
     let rows = by_case(&cases, a.seeds, |(size, (loss, stutterers), careless), seed| {
         quiet(size, a.seconds, loss, stutterers, careless, seed)
@@ -149,7 +163,7 @@
             mean(row.iter().map(|q| q.bytes), row.len())
         );
     }
-    for size in sizes.iter().filter(|s| **s <= MOST_BEATS) {
+    for size in sizes.iter().filter(|s| **s <= MOST_BEATS && !a.own) {
         for loss in [0.0, 0.1, 0.3] {
             let b = beats::play(*size, a.seconds as u32, loss, 1);
             println!(
--- a/crates/standin/src/rig/leases.rs
+++ b/crates/standin/src/rig/leases.rs
@@ -20,8 +20,6 @@
 const POLL: Duration = Duration::from_millis(20);
 /// For an answer: shorter than a lease, so that a paused node is noticed.
 const PATIENCE: Duration = Duration::from_millis(300);
-/// Of a contender that is not told otherwise.
-const KEEPS: Duration = Duration::from_millis(1500);
 
 /// What one contender did under one grant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,9 +46,22 @@
     pub rates: &'static [f64],
     /// Safeguards to go without.
     pub without: &'static [&'static str],
+    /// Nodes with a contender; all where none is named.
+    pub contend: &'static [usize],
+    /// For how long a contender acts that is not told otherwise.
+    pub keeps: Duration,
 }
 
-const SOUND: Case = Case { name: "", nodes: [7, 5], script: "", rates: &[], without: &[] };
+/// Seven contenders that take turns, five of their nodes vote, nothing goes wrong.
+pub const SOUND: Case = Case {
+    name: "",
+    nodes: [7, 5],
+    script: "",
+    rates: &[],
+    without: &[],
+    contend: &[],
+    keeps: Duration::from_millis(1500),
+};
 
 /// What must hold: no two act at once, whatever the script does. Leases live for 2 s.
 pub const CASES: &[Case] = &[
@@ -117,16 +128,17 @@
     rig.agreed(Duration::from_secs(60)).await?;
     let acts: Rc<RefCell<Vec<Act>>> = Rc::default();
     let mut contenders = JoinSet::new();
-    for place in 0..nodes {
-        let (acts, operators) = (acts.clone(), rig.desks());
-        contenders.spawn_local(async move { contend(place, &operators, &acts).await });
+    for place in (0..nodes).filter(|n| case.contend.is_empty() || case.contend.contains(n)) {
+        let (acts, operators, keeps) = (acts.clone(), rig.desks(), case.keeps);
+        contenders.spawn_local(async move { contend(place, &operators, keeps, &acts).await });
     }
     let granted = |h: &History| h.lines.iter().filter(|l| l.kind == "granted").count();
     let first = |h: &History| granted(h) > 0;
     rig.until("a first grant", Duration::from_secs(20), first, |_| "none".to_owned()).await?;
     rig.play(|_| {}).await?;
     let before = granted(&rig.history());
-    let again = |h: &History| granted(h) > before;
+    // Whoever takes turns goes on doing so.
+    let again = |h: &History| granted(h) > before || case.keeps > Duration::from_secs(5);
     rig.until("a grant after all faults", Duration::from_secs(20), again, |_| "none".to_owned()).await?;
     contenders.shutdown().await;
     let history = rig.history();
@@ -145,17 +157,17 @@
 }
 
 /// Asks for the lease at one node, acts for as long as it may, gives it back after a while, and begins again.
-async fn contend(place: usize, operators: &super::Desks, acts: &RefCell<Vec<Act>>) {
+async fn contend(place: usize, operators: &super::Desks, keeps: Duration, acts: &RefCell<Vec<Act>>) {
     loop {
         let address = operators.borrow()[place];
         if let Some(address) = address {
-            session(place, address, acts).await;
+            session(place, address, keeps, acts).await;
         }
         sleep(POLL).await;
     }
 }
 
-async fn session(place: usize, address: SocketAddr, acts: &RefCell<Vec<Act>>) {
+async fn session(place: usize, address: SocketAddr, keeps: Duration, acts: &RefCell<Vec<Act>>) {
     let Ok(Ok(stream)) = timeout(PATIENCE, TcpStream::connect(address)).await else { return };
     let mut stream = BufReader::new(stream);
     let mut question = format!("LEASE {NAME} 1\n");
@@ -204,7 +216,7 @@
         }
         if let Some((n, _)) = act {
             let begin = acts.borrow()[n].begin;
-            if at > begin + KEEPS.as_nanos() as u64 {
+            if at > begin + keeps.as_nanos() as u64 {
                 // The act is over before the lease is given back.
                 acts.borrow_mut()[n].end = now();
                 let _ = timeout(PATIENCE, stream.write_all(b"RELEASE\n")).await;
