Tests: commands under a lease, from their tokens to a killed node and a killed client

Exit codes, rising tokens, slots, names that are none, a command that ignores SIGTERM and forks, ENDLEASE, SIGKILL of the node that it is held through (the next holder finds the command gone) and of the client itself (the lease runs out, it is not given back).

--- a/crates/standin/src/rig/mod.rs
+++ b/crates/standin/src/rig/mod.rs
@@ -335,6 +335,11 @@
         self.until("one membership", patience, |h| wrong(h).is_empty(), last).await
     }
 
+    /// Kills the process at a place.
+    pub async fn kill(&mut self, place: usize) -> Result<(), RigError> {
+        self.end(place, true).await
+    }
+
     /// What happened so far.
     pub fn history(&self) -> History {
         self.record.history.borrow().clone()
--- a/node/tests/leases.rs
+++ b/node/tests/leases.rs
@@ -1,10 +1,18 @@
 //! Leases among processes: no two act at once, whatever fails; what breaks without a safeguard is found; commands run under a lease.
 
-use birchswitch_standin::process::node_binary;
+use birchswitch_standin::process::{node_binary, signal};
 use birchswitch_standin::rig::leases::{play, Case, Outcome, CASES, SOUND};
+use birchswitch_standin::rig::{LeasePlan, Plan, Rig};
+use birchswitch_standin::script::Script;
+use birchswitch_standin::scripted::{call, within};
 use std::future::Future;
+use std::net::SocketAddr;
+use std::process::Stdio;
 use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
 use tokio::task::LocalSet;
+use tokio::time::{sleep, Instant};
 
 const SEED: u64 = 1;
 
@@ -97,3 +105,153 @@
     let rates = &[1.04, 1.04, 1.04, 1.04, 1.04, 0.96, 1.04];
     assert_eq!(found(&Case { name: "4% off", rates, ..case }, 1), None);
 }
+
+/// Three nodes, all of which vote, and where operators call them.
+async fn electorate() -> (Rig, Vec<SocketAddr>) {
+    let lease = LeasePlan {
+        voters: 3,
+        lines: "ttl = \"2s\"\nround = \"200ms\"".to_owned(),
+        rates: Vec::new(),
+        without: Vec::new(),
+    };
+    let plan = Plan {
+        binary: node_binary().expect("this program's path"),
+        nodes: 3,
+        spare: 0,
+        zones: 1,
+        cluster: String::new(),
+        lease: Some(lease),
+        servers: Vec::new(),
+        streams: false,
+        script: Script { seed: SEED, entries: Vec::new() },
+    };
+    let rig = Rig::start(plan).await.expect("a rig");
+    rig.agreed(Duration::from_secs(60)).await.expect("one membership");
+    let desks = (0..3).map(|n| rig.operators(n).expect("it runs")).collect();
+    (rig, desks)
+}
+
+/// `birchswitch lease run` with options, and a shell's text as its command.
+fn lease_run(ops: SocketAddr, name: &str, options: &[&str], text: &str) -> Child {
+    let mut command = Command::new(node_binary().expect("this program's path"));
+    command.args(["lease", "run", name]).args(options).args([
+        "--ops",
+        &ops.to_string(),
+        "--",
+        "sh",
+        "-c",
+        text,
+    ]);
+    command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped()).kill_on_drop(true);
+    command.spawn().expect("a process")
+}
+
+async fn ended(child: Child) -> (Option<i32>, String, String) {
+    let output = within("a command's end", child.wait_with_output()).await.expect("its output");
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).trim().to_owned();
+    (output.status.code(), text(&output.stdout), text(&output.stderr))
+}
+
+async fn line(child: &mut Child) -> String {
+    let mut lines = BufReader::new(child.stdout.as_mut().expect("it is piped")).lines();
+    within("a command's line", lines.next_line()).await.expect("read").expect("a line")
+}
+
+async fn holds_itself_out(desk: SocketAddr, text: &str) {
+    within("a line of LEASES", async {
+        while !call(desk, "LEASES").await.contains(text) {
+            sleep(Duration::from_millis(50)).await;
+        }
+    })
+    .await;
+}
+
+#[test]
+fn commands_run_one_after_the_other_with_rising_tokens_and_their_own_exit_codes() {
+    on_a_set(async {
+        let (_rig, desks) = electorate().await;
+        let text = "echo $BIRCHSWITCH_LEASE_TOKEN; exit 7";
+        let (code, first, _) = ended(lease_run(desks[0], "nightly", &[], text)).await;
+        assert_eq!(code, Some(7));
+        let (_, second, _) = ended(lease_run(desks[1], "nightly", &[], text)).await;
+        let token = |text: &str| text.parse::<u64>().unwrap_or_else(|_| panic!("{text:?} is no token"));
+        assert!(token(&second) > token(&first));
+
+        let mut holder = lease_run(desks[0], "nightly", &[], "echo runs; exec sleep 60");
+        assert_eq!(line(&mut holder).await, "runs");
+        let (code, out, _) = ended(lease_run(desks[2], "nightly", &["--wait", "1"], "echo never")).await;
+        assert_eq!((code, out.as_str()), (Some(75), ""), "it is held elsewhere");
+        // Another name is another lease, and of two slots a second one is free.
+        assert_eq!(ended(lease_run(desks[2], "hourly", &[], "true")).await.0, Some(0));
+        let mut one = lease_run(desks[0], "turns", &["--slots", "2"], "echo runs; exec sleep 60");
+        assert_eq!(line(&mut one).await, "runs");
+        let mut other = lease_run(desks[1], "turns", &["--slots", "2"], "echo runs; exec sleep 60");
+        assert_eq!(line(&mut other).await, "runs");
+        let third = lease_run(desks[2], "turns", &["--slots", "2", "--wait", "1"], "echo never");
+        assert_eq!(ended(third).await.0, Some(75));
+
+        for held in [holder, one, other] {
+            // It passes the signal on to its command.
+            signal(&held, "TERM").await.expect("it runs");
+            assert_eq!(ended(held).await.0, Some(128 + 15));
+        }
+
+        let long = "x".repeat(900);
+        for (name, code) in [(long.as_str(), 69), ("é", 69)] {
+            let (found, _, why) = ended(lease_run(desks[0], name, &[], "true")).await;
+            assert_eq!(found, Some(code), "{why}");
+            assert!(why.contains("1 to 64 visible ASCII"), "{why}");
+        }
+    });
+}
+
+/// A command that ignores SIGTERM, and what it forked, are gone before the lease is.
+#[test]
+fn a_command_ends_before_its_lease_does() {
+    on_a_set(async {
+        let (mut rig, desks) = electorate().await;
+        let stubborn = "trap '' TERM; (trap '' TERM; sleep 300) & echo $!; wait; sleep 300";
+        let mut held = lease_run(desks[0], "a", &[], stubborn);
+        let forked: u32 = line(&mut held).await.parse().expect("a process's number");
+        assert!(call(desks[0], "ENDLEASE a").await.starts_with("SUCCESS 1 told"));
+        let (code, _, why) = ended(held).await;
+        assert_eq!(code, Some(76), "{why}");
+        assert!(!alive(forked), "what it forked is gone");
+        assert_eq!(ended(lease_run(desks[1], "a", &["--wait", "5"], "true")).await.0, Some(0));
+
+        // The node that it was held through is killed: nobody extends it.
+        let mut held = lease_run(desks[0], "a", &[], stubborn);
+        let forked: u32 = line(&mut held).await.parse().expect("a process's number");
+        rig.kill(0).await.expect("killed");
+        let next = lease_run(
+            desks[1],
+            "a",
+            &[],
+            &format!("test -d /proc/{forked} && grep -v Z /proc/{forked}/stat; true"),
+        );
+        let (code, still_there, _) = ended(next).await;
+        assert_eq!((code, still_there.as_str()), (Some(0), ""), "the next holder finds it gone");
+        assert_eq!(ended(held).await.0, Some(76));
+    });
+}
+
+/// The client of a lease is killed itself: its command goes on, so that the lease must not be given back before its time.
+#[test]
+fn a_lease_whose_client_is_killed_runs_out() {
+    on_a_set(async {
+        let (_rig, desks) = electorate().await;
+        let mut held = lease_run(desks[0], "a", &[], "echo runs; exec sleep 1");
+        assert_eq!(line(&mut held).await, "runs");
+        let killed = Instant::now();
+        held.start_kill().expect("killed");
+        holds_itself_out(desks[1], "a/0 vote granted").await;
+        assert_eq!(ended(lease_run(desks[1], "a", &[], "true")).await.0, Some(0));
+        // Extended at most a third of its time before, it has at least two thirds left.
+        assert!(killed.elapsed() > Duration::from_millis(1100), "{:?}", killed.elapsed());
+    });
+}
+
+fn alive(pid: u32) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    status.contains(") ") && !status.contains(") Z")
+}
