Leases: tests of voters' words, 50 candidates at once, and the rig's lease cases by command

Electorates that differ refuse each other by the sum of their terms, names that are none are not read, who waits is told when a lease is given back, 4,096 names are kept and a held one is never pushed out. birchswitch-standin rig plays the lease cases too. An answer on a cut way of the rig waits and comes once it heals.

--- a/crates/lab/tests/leases.rs
+++ b/crates/lab/tests/leases.rs
@@ -80,3 +80,14 @@
         assert!(outcome.gap < 6.5 && outcome.broken.is_empty(), "seed {seed}: {outcome:?}");
     }
 }
+
+#[test]
+fn fifty_candidates_that_start_at_once_agree_on_one() {
+    for seed in 0..5 {
+        let outcome = play(&terms(Safeguards::ALL), 5, 50, 60, &Faults::none(), seed);
+        assert_eq!((outcome.grants, outcome.lost), (1, 0), "seed {seed}: {outcome:?}");
+        assert!(outcome.broken.is_empty() && outcome.gap < 10.0, "seed {seed}: {outcome:?}");
+        // Who waits asks once a lease's time and is refused, with three questions of five voters at most.
+        assert!(outcome.messages < 50 * 60 * 15, "seed {seed}: {} messages", outcome.messages);
+    }
+}
--- /dev/null
+++ b/crates/lease/tests/core.rs
@@ -0,0 +1,163 @@
+//! Single words of voters, and what candidates make of them.
+
+use birchswitch_lease::{
+    Action, Answer, Ask, Ballot, Candidate, Key, Life, Message, Refusal, Safeguards, Terms, Time, Voter,
+    Wish, Word,
+};
+use proptest::prelude::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const NOW: Time = Duration::from_secs(1000);
+
+fn address(n: u8) -> SocketAddr {
+    ([127, 0, 0, n], 7000).into()
+}
+
+fn terms() -> Arc<Terms> {
+    Arc::new(Terms::new((1..=3).map(address).collect()))
+}
+
+fn key(name: &str) -> Key {
+    Key::new(name, 0).expect("a sound name")
+}
+
+fn voter(terms: &Arc<Terms>) -> Voter {
+    Voter::new(terms.clone(), 0, Time::ZERO)
+}
+
+fn ask(
+    voter: &mut Voter,
+    sum: u64,
+    name: &str,
+    life: u64,
+    number: u64,
+    wish: Wish,
+) -> Vec<(SocketAddr, Answer)> {
+    let ask = Ask { key: key(name), ballot: Ballot { number, life: Life(life) }, turn: 1, wish };
+    let mut out = Vec::new();
+    voter.ask(NOW, address(life as u8 + 100), sum, &ask, &mut out);
+    out
+}
+
+fn word(answers: &[(SocketAddr, Answer)]) -> Word {
+    answers[0].1.word
+}
+
+#[test]
+fn names_that_are_none_are_refused_and_not_read() {
+    for name in ["", "a b", "é", &"x".repeat(65), &"x".repeat(4096)] {
+        assert!(Key::new(name, 0).is_err(), "{name}");
+    }
+    let good = Message::Ask(
+        1,
+        Ask { key: key("a"), ballot: Ballot { number: 1, life: Life(1) }, turn: 1, wish: Wish::Prepare },
+    );
+    let bytes = good.encode();
+    assert_eq!(Message::decode(&bytes), Some(good));
+    let name = bytes.iter().position(|b| *b == b'a').expect("its name");
+    let mut blank = bytes.clone();
+    blank[name] = b' ';
+    assert_eq!(Message::decode(&blank), None);
+}
+
+#[test]
+fn electorates_that_differ_refuse_each_other() {
+    let terms = terms();
+    let mut voter = voter(&terms);
+    let mut turned = (*terms).clone();
+    turned.voters.reverse();
+    assert_eq!(turned.sum(), terms.sum(), "the order of voters does not count");
+    assert_eq!(word(&ask(&mut voter, turned.sum(), "a", 1, 5, Wish::Prepare)), Word::Promised);
+    let other = Terms { ttl: Duration::from_secs(11), ..(*terms).clone() };
+    assert_eq!(word(&ask(&mut voter, other.sum(), "a", 2, 9, Wish::Prepare)), Word::Elsewhere(terms.sum()));
+
+    let mut candidate = Candidate::new(terms.clone(), Life(7), 0);
+    let mut out = Vec::new();
+    candidate.want(NOW, key("a"), &mut out);
+    let Some(Action::Send(_, asked)) = out.first().cloned() else { panic!("it asks") };
+    out.clear();
+    for n in 1..=2 {
+        let answer = Answer {
+            key: asked.key.clone(),
+            ballot: asked.ballot,
+            turn: asked.turn,
+            wish: asked.wish,
+            word: Word::Elsewhere(1),
+        };
+        candidate.answer(NOW, address(n), &answer, &mut out);
+    }
+    assert!(out.contains(&Action::Refused(key("a"), Refusal::Elsewhere)), "{out:?}");
+    // A stranger's word counts for nothing.
+    out.clear();
+    let answer = Answer {
+        key: key("a"),
+        ballot: asked.ballot,
+        turn: asked.turn,
+        wish: asked.wish,
+        word: Word::Promised,
+    };
+    candidate.answer(NOW, address(99), &answer, &mut out);
+    assert!(out.is_empty());
+}
+
+#[test]
+fn terms_that_make_no_sense_are_told() {
+    let with = |change: fn(&mut Terms)| {
+        let mut terms = (*terms()).clone();
+        change(&mut terms);
+        terms.check().expect_err("it makes no sense").to_string()
+    };
+    assert!(with(|t| t.voters.truncate(2)).contains("`voters`"));
+    assert!(with(|t| t.voters[1] = t.voters[0]).contains("twice"));
+    assert!(with(|t| t.ttl = Duration::from_millis(500)).contains("`ttl`"));
+    assert!(with(|t| t.round = Duration::from_secs(4)).contains("`round`"));
+}
+
+/// Who waits is told at once when the holder gives the lease back.
+#[test]
+fn a_lease_that_is_given_back_is_offered_to_who_waits() {
+    let terms = terms();
+    let (mut voter, sum) = (voter(&terms), terms.sum());
+    assert_eq!(word(&ask(&mut voter, sum, "a", 1, 5, Wish::Prepare)), Word::Promised);
+    assert_eq!(word(&ask(&mut voter, sum, "a", 1, 5, Wish::Propose)), Word::Accepted);
+    assert_eq!(word(&ask(&mut voter, sum, "a", 2, 6, Wish::Prepare)), Word::Busy(terms.ttl));
+    let told = ask(&mut voter, sum, "a", 1, 5, Wish::Release);
+    assert_eq!(told.iter().map(|t| (t.0, t.1.word)).collect::<Vec<_>>(), [(address(102), Word::Free)]);
+    assert_eq!(word(&ask(&mut voter, sum, "a", 2, 6, Wish::Prepare)), Word::Promised);
+    assert_eq!(
+        word(&ask(&mut voter, sum, "a", 1, 5, Wish::Propose)),
+        Word::Above(6),
+        "the old ballot is over"
+    );
+}
+
+/// Names beyond what is kept push out those that nobody has, and never one that somebody holds; the floor rises for what was pushed out.
+#[test]
+fn memory_is_bounded_and_grants_stay() {
+    let terms = terms();
+    let (mut voter, sum) = (voter(&terms), terms.sum());
+    for n in 0..4096 {
+        let name = format!("n{n}");
+        ask(&mut voter, sum, &name, 1, 50, Wish::Prepare);
+        let wish = if n % 2 == 0 { Wish::Propose } else { Wish::Release };
+        ask(&mut voter, sum, &name, 1, 50, wish);
+    }
+    for n in 0..2048 {
+        assert_eq!(word(&ask(&mut voter, sum, &format!("m{n}"), 2, 60, Wish::Prepare)), Word::Promised);
+    }
+    assert_eq!(word(&ask(&mut voter, sum, "more", 2, 60, Wish::Prepare)), Word::Full);
+    assert_eq!(voter.granted(NOW).count(), 2048);
+    assert_eq!(word(&ask(&mut voter, sum, "n0", 2, 70, Wish::Prepare)), Word::Busy(terms.ttl));
+    assert_eq!(Safeguards::ALL, terms.safeguards);
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_a_message_or_none(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        if let Some(message) = Message::decode(&bytes) {
+            prop_assert_eq!(Message::decode(&message.encode()), Some(message));
+        }
+    }
+}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -7,6 +7,7 @@
 use birchswitch_standin::fleet::{self, Plan, Report};
 use birchswitch_standin::process;
 use birchswitch_standin::rig::cases::{self, CASES};
+use birchswitch_standin::rig::leases;
 use birchswitch_standin::script::{Deed, Script};
 use birchswitch_thrift::Protocol;
 use clap::{Args, Parser, Subcommand};
@@ -175,16 +176,21 @@
 }
 
 fn rig(arguments: &RigArguments) -> Result<bool, Box<dyn Error>> {
-    let unknown = arguments.cases.iter().find(|name| !CASES.iter().any(|c| c.name == *name));
+    let names: Vec<&str> = CASES.iter().map(|c| c.name).chain(leases::CASES.iter().map(|c| c.name)).collect();
+    let unknown = arguments.cases.iter().find(|name| !names.contains(&name.as_str()));
     if let Some(name) = unknown {
         return Err(format!("no case is called {name:?}: `rig --list` names them").into());
     }
-    let chosen =
-        CASES.iter().filter(|c| arguments.cases.is_empty() || arguments.cases.iter().any(|n| n == c.name));
+    let wanted = |name: &str| arguments.cases.is_empty() || arguments.cases.iter().any(|n| n == name);
+    let chosen = CASES.iter().filter(|c| wanted(c.name));
     if arguments.list {
         for case in chosen {
             println!("{}: {} nodes", case.name, case.nodes[0]);
-            case.script.lines().for_each(|l| println!("    {l}"));
+            case.script.lines().for_each(|l| println!("    {}", l.trim()));
+        }
+        for case in leases::CASES.iter().filter(|c| wanted(c.name)) {
+            println!("{}: {} nodes, {} vote", case.name, case.nodes[0], case.nodes[1]);
+            case.script.lines().for_each(|l| println!("    {}", l.trim()));
         }
         return Ok(true);
     }
@@ -237,6 +243,27 @@
             }
         }
     }
+    let chosen: Vec<_> = leases::CASES.iter().filter(|c| wanted(c.name)).collect();
+    if !chosen.is_empty() {
+        println!("{:<16}{:>6}{:>9}{:>12}{:>12}{:>10}", "case", "seed", "acts", "grants", "lost", "gap, s");
+    }
+    for case in chosen {
+        for seed in arguments.seed..arguments.seed + arguments.runs {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+            let played = leases::play(case, binary.clone(), seed);
+            let outcome = tokio::task::LocalSet::new().block_on(&runtime, played)?;
+            println!(
+                "{:<16}{seed:>6}{:>9}{:>12}{:>12}{:>10.1}",
+                case.name,
+                outcome.acts.len(),
+                outcome.grants,
+                outcome.lost,
+                outcome.gap.as_secs_f64()
+            );
+            sound &= outcome.wrong.is_empty();
+            outcome.wrong.iter().for_each(|w| println!("    WRONG: seed {seed}: {w}"));
+        }
+    }
     Ok(sound)
 }
 
--- a/node/tests/members.rs
+++ b/node/tests/members.rs
@@ -295,3 +295,28 @@
         assert!(Path::new(&format!("/proc/{}", rig.pid(0).expect("it runs"))).exists());
     });
 }
+
+/// An answer on a way that is cut waits, and comes once it heals; the request had passed the other way.
+#[test]
+fn a_cut_holds_back_what_connections_carry_one_way() {
+    on_a_set(async {
+        let server = Peer::new().await;
+        let servers = vec![server.address()];
+        let mut rig = rig(Plan { streams: true, servers, ..plan(3, "0s wire cut servers n0") }).await;
+        let mut client = Wire::connect(rig.listen(0).expect("it runs")).await;
+        within("the list", async {
+            let desk = rig.operators(0).expect("it runs");
+            while !call(desk, "STATUS").await.starts_with("SUCCESS") {
+                sleep(Duration::from_millis(20)).await;
+            }
+        })
+        .await;
+        client.send("unsafe", "20000m").await;
+        let (mut wire, _) = server.request().await;
+        rig.play(|_| ()).await.expect("the script");
+        wire.answer("200 OK", "", "").await;
+        assert!(timeout(Duration::from_millis(300), client.read()).await.is_err(), "it is held back");
+        rig.heal();
+        assert_eq!(client.read().await.expect("an answer").status(), 200);
+    });
+}
