--- a/crates/standin/src/rig/cases.rs
+++ b/crates/standin/src/rig/cases.rs
@@ -100,6 +100,8 @@
     },
     Case { name: "spoilt", nodes: [12, 0], script: "0s wire spoil 0.1\n0s wire shorten 0.1\n20s wire spoil 0\n20s wire shorten 0", holds: &[NoVerdict] },
     Case { name: "seven-in-ten", nodes: [20, 0], script: "1s nodes:0.7 die\n25s wire lose 0", holds: &[Even(15)] },
+    // Sixty are there, and forty join at once.
+    Case { name: "forty-join", nodes: [100, 0], script: "1s n60-n99 end\n2s n60-n99 start", holds: &[NoVerdict, Even(15)] },
     Case { name: "tenth-at-a-time", nodes: [20, 0], script: "1s n0-n1 end\n1s n0-n1 start\n4s n2-n3 end\n4s n2-n3 start\n7s n4-n5 end\n7s n4-n5 start\n10s n6-n7 end\n10s n6-n7 start", holds: &[NoVerdict, Even(15)] },
 ];
 
