--- a/crates/cluster-host/src/settings.rs
+++ b/crates/cluster-host/src/settings.rs
@@ -12,10 +12,34 @@
 #[serde(transparent)]
 pub struct Span(#[serde(with = "humantime_serde")] Duration);
 
-impl Span {
-    /// The time.
-    pub fn time(self) -> Duration {
-        self.0
+/// Where in a table settings are that others are checked beside.
+#[derive(Debug)]
+pub struct Places {
+    spans: Vec<(&'static str, Range<usize>)>,
+}
+
+impl Places {
+    /// Knows of one setting, which stands for those that are not given.
+    pub fn new<T>(key: &'static str, setting: &Spanned<T>) -> Self {
+        Places { spans: vec![(key, setting.span())] }
+    }
+
+    /// Knows of a setting, if it is given; which is then returned.
+    pub fn note<'a, T>(&mut self, key: &'static str, given: &'a Option<Spanned<T>>) -> Option<&'a T> {
+        let given = given.as_ref()?;
+        self.spans.push((key, given.span()));
+        Some(given.get_ref())
+    }
+
+    /// Takes up a time, if it is given.
+    pub fn time(&mut self, key: &'static str, given: &Option<Spanned<Span>>, time: &mut Duration) {
+        self.note(key, given).iter().for_each(|given| *time = given.0);
+    }
+
+    /// What is wrong with a setting.
+    pub fn wrong(&self, key: &str, problem: impl ToString) -> Wrong {
+        let span = self.spans.iter().find(|s| s.0 == key).unwrap_or(&self.spans[0]).1.clone();
+        Wrong { span, problem: problem.to_string() }
     }
 }
 
@@ -75,33 +99,18 @@
     pub fn compile(self) -> Result<Compiled, Wrong> {
         let seeds = self.seeds.as_ref().map(|s| s.get_ref().clone()).unwrap_or_default();
         let mut settings = Settings::new(self.name.get_ref().clone(), seeds);
-        let times = [
-            ("probe", &self.probe, &mut settings.probe),
-            ("timeout", &self.timeout, &mut settings.timeout),
-            ("suspicion", &self.suspicion, &mut settings.suspicion),
-            ("exchange", &self.exchange, &mut settings.exchange),
-            ("forget", &self.forget, &mut settings.forget),
-        ];
-        let mut spans = vec![("name", self.name.span())];
-        for (key, given, time) in times {
-            if let Some(given) = given {
-                *time = given.get_ref().0;
-                spans.push((key, given.span()));
-            }
-        }
-        if let Some(members) = &self.members {
-            settings.members = *members.get_ref();
-            spans.push(("members", members.span()));
-        }
-        spans.extend(self.seeds.as_ref().map(|s| ("seeds", s.span())));
+        let mut places = Places::new("name", &self.name);
+        places.time("probe", &self.probe, &mut settings.probe);
+        places.time("timeout", &self.timeout, &mut settings.timeout);
+        places.time("suspicion", &self.suspicion, &mut settings.suspicion);
+        places.time("exchange", &self.exchange, &mut settings.exchange);
+        places.time("forget", &self.forget, &mut settings.forget);
+        settings.members = places.note("members", &self.members).copied().unwrap_or(settings.members);
+        places.note("seeds", &self.seeds);
         settings.check().map_err(|error| {
-            let key = match &error {
-                SettingsError::Text(key, _) | SettingsError::Time(key, _) | SettingsError::Count(key, _) => {
-                    *key
-                }
-            };
-            let span = spans.iter().find(|s| s.0 == key).map_or(self.name.span(), |s| s.1.clone());
-            Wrong { span, problem: error.to_string() }
+            let (SettingsError::Text(key, _) | SettingsError::Time(key, _) | SettingsError::Count(key, _)) =
+                &error;
+            places.wrong(key, &error)
         })?;
         let text = |given: &Spanned<String>, key: &str| {
             let fits = |t: &str| (1..=64).contains(&t.len()) && t.bytes().all(|b| b.is_ascii_graphic());
--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -7,7 +7,7 @@
 use crate::rounds::Probing;
 use crate::settings::{Settings, SettingsError};
 use crate::table::{Member, Table};
-use crate::wire::{self, Body, Dropped, Held, Message, News, Said, Sender};
+use crate::wire::{self, Body, Held, Message, News, Said, Sender};
 use crate::Time;
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -313,13 +313,9 @@
     fn received(&mut self, now: Time, from: SocketAddr, bytes: &[u8], actions: &mut Vec<Action>) {
         self.counts.received[0] += 1;
         self.counts.received[1] += bytes.len() as u64;
-        let message = match wire::decode(&self.settings.cluster, bytes) {
-            Ok(message) => message,
-            Err(Dropped::Short | Dropped::Long | Dropped::Checksum)
-            | Err(Dropped::Version | Dropped::Foreign | Dropped::Unknown) => {
-                self.counts.dropped += 1;
-                return;
-            }
+        let Ok(message) = wire::decode(&self.settings.cluster, bytes) else {
+            self.counts.dropped += 1;
+            return;
         };
         let sender = message.sender;
         if sender.id == self.own.id() {
--- a/crates/figures/src/lib.rs
+++ b/crates/figures/src/lib.rs
@@ -26,6 +26,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+use prometheus::core::Collector;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder};
 use std::cell::OnceCell;
 use std::rc::Rc;
@@ -102,6 +103,28 @@
     pub told: [u64; 4],
 }
 
+/// A collector, told to the registry.
+fn kept<C: Collector + Clone + 'static>(
+    registry: &Registry,
+    collector: Result<C, FiguresError>,
+) -> Result<C, FiguresError> {
+    let collector = collector?;
+    registry.register(Box::new(collector.clone())).map(|()| collector)
+}
+
+/// Brings a counter to what was counted elsewhere.
+fn raise(counter: &IntCounter, value: u64) {
+    counter.inc_by(value.saturating_sub(counter.get()));
+}
+
+/// What is made and registered at its first use. Names are fixed, so that it can't fail.
+fn once<T>(cell: &OnceCell<T>, new: impl FnOnce() -> Result<T, FiguresError>) -> Option<&T> {
+    if cell.get().is_none() {
+        new().ok().map(|value| cell.set(value));
+    }
+    cell.get()
+}
+
 struct LeaseGauges {
     leases: IntGaugeVec,
     told: [IntCounter; 4],
@@ -109,16 +132,23 @@
 
 impl LeaseGauges {
     fn new(registry: &Registry) -> Result<Self, FiguresError> {
-        let leases = IntGaugeVec::new(Opts::new("leases", "Leases at this node."), &["state"])?;
-        registry.register(Box::new(leases.clone()))?;
-        let told = [
-            IntCounter::new("lease_granted", "Leases granted to this node.")?,
-            IntCounter::new("lease_lost", "Leases lost without being given up.")?,
-            IntCounter::new("lease_refused", "Tries for leases that came to nothing.")?,
-            IntCounter::new("lease_votes", "Grants that this node voted for, extensions included.")?,
-        ];
-        told.iter().try_for_each(|c| registry.register(Box::new(c.clone())))?;
-        Ok(LeaseGauges { leases, told })
+        let counter = |name: &str, help: &str| kept(registry, IntCounter::new(name, help));
+        let leases = Opts::new("leases", "Leases at this node.");
+        Ok(LeaseGauges {
+            leases: kept(registry, IntGaugeVec::new(leases, &["state"]))?,
+            told: [
+                counter("lease_granted", "Leases granted to this node.")?,
+                counter("lease_lost", "Leases lost without being given up.")?,
+                counter("lease_refused", "Tries for leases that came to nothing.")?,
+                counter("lease_votes", "Grants that this node voted for, extensions included.")?,
+            ],
+        })
+    }
+
+    fn set(&self, now: &LeaseFigures) {
+        self.leases.with_label_values(&["held"]).set(now.held as i64);
+        self.leases.with_label_values(&["waiting"]).set(now.waiting as i64);
+        self.told.iter().zip(now.told).for_each(|(counter, value)| raise(counter, value));
     }
 }
 
@@ -136,13 +166,6 @@
 
 impl Cluster {
     fn new(registry: &Registry) -> Result<Self, FiguresError> {
-        fn kept<C: prometheus::core::Collector + Clone + 'static>(
-            registry: &Registry,
-            collector: Result<C, FiguresError>,
-        ) -> Result<C, FiguresError> {
-            let collector = collector?;
-            registry.register(Box::new(collector.clone())).map(|()| collector)
-        }
         let counter = |name: &str, help: &str| kept(registry, IntCounter::new(name, help));
         let ways =
             |name: &str, help: &str| kept(registry, IntCounterVec::new(Opts::new(name, help), &["way"]));
@@ -168,16 +191,15 @@
     }
 
     fn set(&self, now: &ClusterFigures) {
-        let set = |counter: &IntCounter, value: u64| counter.inc_by(value.saturating_sub(counter.get()));
         for (label, count) in STATES.iter().zip(now.members) {
             self.members.with_label_values(&[label]).set(count as i64);
         }
         for (way, [datagrams, bytes]) in [("sent", now.sent), ("received", now.received)] {
-            set(&self.datagrams.with_label_values(&[way]), datagrams);
-            set(&self.bytes.with_label_values(&[way]), bytes);
+            raise(&self.datagrams.with_label_values(&[way]), datagrams);
+            raise(&self.bytes.with_label_values(&[way]), bytes);
         }
-        set(&self.dropped, now.dropped);
-        self.told.iter().zip(now.told).for_each(|(counter, value)| set(counter, value));
+        raise(&self.dropped, now.dropped);
+        self.told.iter().zip(now.told).for_each(|(counter, value)| raise(counter, value));
         self.health.set(now.health.into());
     }
 }
@@ -228,30 +250,12 @@
 
     /// What is known and counted of other nodes. These figures are there from the first call on.
     pub fn cluster(&self, now: &ClusterFigures) {
-        // Names are fixed and registered once.
-        if self.cluster.get().is_none() {
-            if let Ok(cluster) = Cluster::new(&self.registry) {
-                let _ = self.cluster.set(cluster);
-            }
-        }
-        if let Some(cluster) = self.cluster.get() {
-            cluster.set(now);
-        }
+        once(&self.cluster, || Cluster::new(&self.registry)).iter().for_each(|c| c.set(now));
     }
 
     /// What is known and counted of leases. These figures are there from the first call on.
     pub fn leases(&self, now: &LeaseFigures) {
-        if self.leases.get().is_none() {
-            if let Ok(leases) = LeaseGauges::new(&self.registry) {
-                let _ = self.leases.set(leases);
-            }
-        }
-        if let Some(leases) = self.leases.get() {
-            leases.leases.with_label_values(&["held"]).set(now.held as i64);
-            leases.leases.with_label_values(&["waiting"]).set(now.waiting as i64);
-            let all = leases.told.iter().zip(now.told);
-            all.for_each(|(counter, value)| counter.inc_by(value.saturating_sub(counter.get())));
-        }
+        once(&self.leases, || LeaseGauges::new(&self.registry)).iter().for_each(|l| l.set(now));
     }
 
     /// All of them, a line each, with what they are about in comments between.
--- a/crates/lab/src/fleets.rs
+++ b/crates/lab/src/fleets.rs
@@ -1,12 +1,11 @@
 //! `birchswitch-lab members`: what membership costs and how well it tells, as tables.
 
+use crate::parallel::all;
 use birchswitch_lab::members::beats;
 use birchswitch_lab::members::measure::{
     detection, evenness, quantile, quiet, value, Detection, Quiet, Upheaval,
 };
 use clap::Args;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Mutex;
 
 /// The largest fleet for which every pair's heartbeats are counted.
 const MOST_BEATS: usize = 1_250;
@@ -54,24 +53,6 @@
     Even,
 }
 
-/// Runs all of them on all cores, in their order.
-fn all<I: Sync, O: Send + Default + Clone>(inputs: &[I], run: impl Fn(&I) -> O + Sync) -> Vec<O> {
-    let (next, done) = (AtomicUsize::new(0), Mutex::new(vec![O::default(); inputs.len()]));
-    std::thread::scope(|scope| {
-        for _ in 0..std::thread::available_parallelism().map_or(1, usize::from) {
-            scope.spawn(|| loop {
-                let k = next.fetch_add(1, Ordering::Relaxed);
-                let Some(input) = inputs.get(k) else { return };
-                let out = run(input);
-                if let Ok(mut done) = done.lock() {
-                    done[k] = out;
-                }
-            });
-        }
-    });
-    done.into_inner().unwrap_or_default()
-}
-
 /// Each of the cases with each seed; results by case.
 fn by_case<C: Copy + Sync, O: Send + Default + Clone>(
     cases: &[C],
--- a/crates/lab/src/leases.rs
+++ b/crates/lab/src/leases.rs
@@ -149,6 +149,7 @@
 
 struct World<'a> {
     terms: Arc<Terms>,
+    sum: u64,
     faults: &'a Faults,
     key: Key,
     processes: Vec<Process>,
@@ -200,6 +201,7 @@
     });
     let mut world = World {
         processes: processes.collect(),
+        sum: terms.sum(),
         terms,
         faults,
         key: Key::new("task", 0).expect("a sound name"),
@@ -430,7 +432,7 @@
     }
 
     fn ask(&mut self, from: usize, to: SocketAddr, ask: Ask) {
-        self.send(from, to, &Message::Ask(self.terms.sum(), ask));
+        self.send(from, to, &Message::Ask(self.sum, ask));
     }
 
     fn send(&mut self, from: usize, to: SocketAddr, message: &Message) {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod fleets;
+mod parallel;
 
 use birchswitch_lab::book::{Book, Cause};
 use birchswitch_lab::policy::Peer;
@@ -11,8 +12,6 @@
 use clap::{Args, Parser, Subcommand};
 use std::error::Error;
 use std::process::ExitCode;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Mutex;
 
 /// A laboratory of decisions: nodes, servers and faults in virtual time.
 #[derive(Parser)]
@@ -174,25 +173,12 @@
     };
     let scenarios: Vec<Scenario> = names.iter().map(|n| read(n)).collect::<Result<_, _>>()?;
     let seeds = many.seeds as usize;
-    let count = scenarios.len() * peers.len() * seeds;
-    let (next, books) = (AtomicUsize::new(0), Mutex::new(vec![None; count]));
-    std::thread::scope(|scope| {
-        for _ in 0..std::thread::available_parallelism().map_or(1, usize::from) {
-            scope.spawn(|| loop {
-                let k = next.fetch_add(1, Ordering::Relaxed);
-                if k >= count {
-                    return;
-                }
-                let (scenario, rest) = (k / (peers.len() * seeds), k % (peers.len() * seeds));
-                let (peer, seed) = (peers[rest / seeds], 1 + (rest % seeds) as u64);
-                let book = world::run(&scenarios[scenario], many.size, seed, peer);
-                if let Ok(mut books) = books.lock() {
-                    books[k] = Some(book);
-                }
-            });
-        }
-    });
-    let mut books = books.into_inner()?.into_iter();
+    let each =
+        |scenario| peers.iter().flat_map(move |p| (1..=many.seeds).map(move |seed| (scenario, *p, seed)));
+    let inputs: Vec<(&Scenario, Peer, u64)> = scenarios.iter().flat_map(each).collect();
+    let books =
+        parallel::all(&inputs, |(scenario, peer, seed)| Some(world::run(scenario, many.size, *seed, *peer)));
+    let mut books = books.into_iter();
     let mut all = Vec::new();
     for (name, scenario) in names.into_iter().zip(&scenarios) {
         let mut rows = Vec::new();
--- a/crates/lease-host/src/lib.rs
+++ b/crates/lease-host/src/lib.rs
@@ -69,6 +69,8 @@
 /// The leases of a node. Runs on a `LocalSet`.
 pub struct Leases {
     terms: Arc<Terms>,
+    /// Of the terms: it goes with every question.
+    sum: u64,
     rate: u32,
     cluster: Rc<Cluster>,
     own: SocketAddr,
@@ -98,6 +100,7 @@
         let day = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let floor = (day.as_millis() as u64) << FLOOR_BITS;
         let leases = Leases {
+            sum: terms.sum(),
             rate: compiled.rate,
             cluster: cluster.clone(),
             own,
@@ -209,7 +212,7 @@
         let mut counts = self.counts.get();
         for action in actions {
             match action {
-                Action::Send(to, ask) => self.send(to, Message::Ask(self.terms.sum(), ask)),
+                Action::Send(to, ask) => self.send(to, Message::Ask(self.sum, ask)),
                 Action::Granted(held) => {
                     counts.granted += 1;
                     self.told(life, "granted", held);
--- a/crates/lease-host/src/settings.rs
+++ b/crates/lease-host/src/settings.rs
@@ -1,6 +1,6 @@
 //! The `[lease]` table of an operator's file.
 
-use birchswitch_cluster_host::{Span, Wrong};
+use birchswitch_cluster_host::{Places, Span, Wrong};
 use birchswitch_lease::{Safeguards, Terms, TermsError};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -49,48 +49,36 @@
     /// Checks each setting by itself and beside the others.
     pub fn compile(self) -> Result<Compiled, Wrong> {
         let mut terms = Terms::new(self.voters.get_ref().clone());
-        let mut spans = vec![("voters", self.voters.span())];
-        for (key, given, time) in
-            [("ttl", &self.ttl, &mut terms.ttl), ("round", &self.round, &mut terms.round)]
-        {
-            if let Some(given) = given {
-                *time = given.get_ref().time();
-                spans.push((key, given.span()));
+        let mut places = Places::new("voters", &self.voters);
+        places.time("ttl", &self.ttl, &mut terms.ttl);
+        places.time("round", &self.round, &mut terms.round);
+        if let Some(drift) = places.note("drift", &self.drift) {
+            if !(0.001..=0.2).contains(drift) {
+                return Err(places.wrong("drift", "`drift` has to be 0.001 to 0.2"));
             }
-        }
-        if let Some(drift) = &self.drift {
-            if !(0.001..=0.2).contains(drift.get_ref()) {
-                return Err(Wrong {
-                    span: drift.span(),
-                    problem: "`drift` has to be 0.001 to 0.2".to_owned(),
-                });
-            }
-            terms.drift = (drift.get_ref() * 1000.0).round() as u32;
+            terms.drift = (drift * 1000.0).round() as u32;
         }
         terms.check().map_err(|error| {
             let key = match &error {
                 TermsError::Time(key, _) => *key,
                 TermsError::Voters(_) | TermsError::Twice(_) => "voters",
             };
-            let span = spans.iter().find(|s| s.0 == key).map_or(self.voters.span(), |s| s.1.clone());
-            Wrong { span, problem: error.to_string() }
+            places.wrong(key, &error)
         })?;
-        let (mut rate, all) = (1000, Safeguards::ALL);
-        if let Some(drill) = self.drill {
-            let span = drill.span();
-            let drill = drill.into_inner();
+        let mut rate = 1000;
+        if let Some(drill) = places.note("drill", &self.drill) {
             let given = drill.rate.unwrap_or(1.0);
             if !(0.5..=2.0).contains(&given) {
-                return Err(Wrong { span, problem: "`rate` has to be 0.5 to 2".to_owned() });
+                return Err(places.wrong("drill", "`rate` has to be 0.5 to 2"));
             }
             rate = (given * 1000.0).round() as u32;
             let on = |w| !drill.without.contains(&w);
             terms.safeguards = Safeguards {
-                abstention: all.abstention && on(Without::Abstention),
-                margin: all.margin && on(Without::Margin),
-                majority: all.majority && on(Without::Majority),
-                promises: all.promises && on(Without::Promises),
-                floor: all.floor && on(Without::Floor),
+                abstention: on(Without::Abstention),
+                margin: on(Without::Margin),
+                majority: on(Without::Majority),
+                promises: on(Without::Promises),
+                floor: on(Without::Floor),
             };
         }
         Ok(Compiled { terms, rate })
--- a/crates/lease/src/voter.rs
+++ b/crates/lease/src/voter.rs
@@ -36,6 +36,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Voter {
     terms: Arc<Terms>,
+    /// Of the terms: it comes with every question.
+    sum: u64,
     abstains: Time,
     /// Ballots up to this number may have been granted and forgotten.
     floor: u64,
@@ -48,7 +50,7 @@
     pub fn new(terms: Arc<Terms>, floor: u64, now: Time) -> Self {
         let abstains = now + terms.abstention();
         let floor = if terms.safeguards.floor { floor } else { 0 };
-        Voter { terms, abstains, floor, entries: BTreeMap::new() }
+        Voter { sum: terms.sum(), terms, abstains, floor, entries: BTreeMap::new() }
     }
 
     /// How long it still abstains.
@@ -73,8 +75,8 @@
         let mut say = |to, ballot, word| {
             out.push((to, Answer { key: ask.key.clone(), ballot, turn: ask.turn, wish: ask.wish, word }));
         };
-        if sum != self.terms.sum() {
-            return say(from, ask.ballot, Word::Elsewhere(self.terms.sum()));
+        if sum != self.sum {
+            return say(from, ask.ballot, Word::Elsewhere(self.sum));
         }
         if let Some(left) = self.abstains(now) {
             return say(from, ask.ballot, Word::Abstains(left));
--- a/crates/operations/src/call.rs
+++ b/crates/operations/src/call.rs
@@ -59,9 +59,9 @@
         let rest: Vec<_> = words.collect();
         let alone =
             |name, call| if rest.is_empty() { Ok(call) } else { Err(CallError::Words(name, "nothing more")) };
-        let about = |name, call: fn(String) -> Call| match rest[..] {
+        let about = |name, what, call: fn(String) -> Call| match rest[..] {
             [id] => Ok(call(id.to_owned())),
-            _ => Err(CallError::Words(name, "the id of one server")),
+            _ => Err(CallError::Words(name, what)),
         };
         match call {
             "STATUS" => alone("STATUS", Call::Status),
@@ -69,19 +69,17 @@
             "MEMBERS" => alone("MEMBERS", Call::Members),
             "LEAVE" => alone("LEAVE", Call::Leave),
             "LEASES" => alone("LEASES", Call::Leases),
-            "LEASE" => match rest[..] {
-                [name, slots] => match slots.parse() {
-                    Ok(slots) if slots > 0 => Ok(Call::Lease { name: name.to_owned(), slots }),
-                    _ => Err(CallError::Words("LEASE", "a name and a number of slots from 1 to 65535")),
-                },
-                _ => Err(CallError::Words("LEASE", "a name and a number of slots from 1 to 65535")),
-            },
-            "ENDLEASE" => match rest[..] {
-                [name] => Ok(Call::EndLease(name.to_owned())),
-                _ => Err(CallError::Words("ENDLEASE", "the name of one lease")),
-            },
-            "SUSPEND" => about("SUSPEND", Call::Suspend),
-            "RESTORE" => about("RESTORE", Call::Restore),
+            "LEASE" => {
+                let slots = |text: &str| text.parse().ok().filter(|slots| *slots > 0);
+                let lease = match rest[..] {
+                    [name, of] => slots(of).map(|slots| Call::Lease { name: name.to_owned(), slots }),
+                    _ => None,
+                };
+                lease.ok_or(CallError::Words("LEASE", "a name and a number of slots from 1 to 65535"))
+            }
+            "ENDLEASE" => about("ENDLEASE", "the name of one lease", Call::EndLease),
+            "SUSPEND" => about("SUSPEND", "the id of one server", Call::Suspend),
+            "RESTORE" => about("RESTORE", "the id of one server", Call::Restore),
             _ => Err(CallError::Unknown),
         }
     }
--- a/crates/operations/src/desk.rs
+++ b/crates/operations/src/desk.rs
@@ -71,15 +71,14 @@
     let Ok(line) = timeout(PATIENCE, read_line(&mut stream)).await else { return Ok(()) };
     let Some(line) = line? else { return Ok(()) };
     let answer = match Call::parse(&line) {
-        Ok(Call::Lease { name, slots }) => match node.lease(&name, slots) {
-            Ok(session) => {
+        Ok(call) => match carry_out(node, call) {
+            Answer::Text(text) => text,
+            Answer::Lasting(session) => {
                 // It lasts, and must not be taken for a caller that dawdles.
                 spawn_local(last(stream, session));
                 return Ok(());
             }
-            Err(error) => told(Err(error)),
         },
-        Ok(call) => carry_out(node, call),
         Err(error) => told(Err(error.to_string())),
     };
     let write = async {
@@ -105,23 +104,33 @@
     }
 }
 
-fn carry_out(node: &impl Node, call: Call) -> String {
-    match call {
-        Call::Lease { name, slots } => told(node.lease(&name, slots).map(|s| s.state())),
-        Call::EndLease(name) => told(node.end_lease(&name)),
-        Call::Leases => match node.leases() {
-            Ok(lines) => lines + "EOT\n",
-            error => told(error),
-        },
+/// What a call comes to.
+enum Answer {
+    Text(String),
+    Lasting(Box<dyn Session>),
+}
+
+fn carry_out(node: &impl Node, call: Call) -> Answer {
+    Answer::Text(match call {
         Call::Status => told(node.status()),
         Call::Figures => node.figures() + "EOT\n",
-        Call::Members => match node.members() {
-            Ok(lines) => lines + "EOT\n",
-            error => told(error),
-        },
+        Call::Members => listed(node.members()),
         Call::Leave => told(node.leave()),
+        Call::Leases => listed(node.leases()),
+        Call::Lease { name, slots } => match node.lease(&name, slots) {
+            Ok(session) => return Answer::Lasting(session),
+            Err(error) => told(Err(error)),
+        },
+        Call::EndLease(name) => told(node.end_lease(&name)),
         Call::Suspend(server) => told(node.set_out(&server, true)),
         Call::Restore(server) => told(node.set_out(&server, false)),
+    })
+}
+
+fn listed(result: Result<String, String>) -> String {
+    match result {
+        Ok(lines) => lines + "EOT\n",
+        error => told(error),
     }
 }
 
--- a/crates/standin/src/cost.rs
+++ b/crates/standin/src/cost.rs
@@ -4,6 +4,7 @@
 //! Figures depend on the machine; the ratios, taken in one run, less so.
 
 use crate::fleet::{io, FleetError, NodeProcess};
+use crate::process::cpu;
 use crate::registry::Registry;
 use birchswitch_thrift::write::{self, Writer};
 use birchswitch_thrift::{frame, walk, Kind, Limits, MessageType, Protocol};
@@ -251,12 +252,6 @@
 }
 
 /// The process's CPU time so far, by its only thread.
-/// Time that a process's first thread was given.
-pub(crate) fn cpu(pid: u32) -> Duration {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/schedstat")).unwrap_or_default();
-    Duration::from_nanos(text.split(' ').next().and_then(|n| n.parse().ok()).unwrap_or(0))
-}
-
 fn peak_kib(pid: u32) -> u64 {
     let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
     let peak = text.lines().find_map(|l| l.strip_prefix("VmHWM:"));
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -22,6 +22,8 @@
 
 /// For a node to start, to be ready, or to end.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Before the address in the line by which a node tells where it listens.
+pub(crate) const LISTENING: &str = "listening on ";
 /// Between a death and the registry's word on it.
 const NOTICE: Duration = Duration::from_millis(1500);
 /// Between any other change and the registry's word on it.
@@ -176,8 +178,8 @@
         let mut lines = BufReader::new(child.stderr.take().expect("it is piped")).lines();
         let listening = async {
             while let Ok(Some(line)) = lines.next_line().await {
-                keep(&log, &line);
-                if let Some(address) = listening(&line) {
+                process::keep(&log, &line);
+                if let Some(address) = process::address_after(&line, LISTENING) {
                     return Some(address);
                 }
             }
@@ -195,7 +197,7 @@
         let kept = log.clone();
         spawn_local(async move {
             while let Ok(Some(line)) = lines.next_line().await {
-                keep(&kept, &line);
+                process::keep(&kept, &line);
             }
         });
         Ok(NodeProcess { number, child, address, log, config, _files: [Some(file), operator] })
@@ -218,7 +220,8 @@
         let logged = async {
             loop {
                 let log = self.log.borrow().clone();
-                let addresses: Vec<_> = log.lines().filter_map(listening).collect();
+                let addresses: Vec<_> =
+                    log.lines().filter_map(|l| process::address_after(l, LISTENING)).collect();
                 if let Some(address) =
                     addresses.last().filter(|_| log.matches(text).count() >= addresses.len())
                 {
@@ -237,22 +240,6 @@
     }
 }
 
-/// The address that a line of a log tells.
-fn listening(line: &str) -> Option<SocketAddr> {
-    line.split("listening on ").nth(1)?.trim().parse().ok()
-}
-
-/// Keeps a line, and of those before it no more than a screenful.
-fn keep(log: &RefCell<String>, line: &str) {
-    let mut log = log.borrow_mut();
-    log.push_str(line);
-    log.push('\n');
-    while log.len() > 4096 {
-        let end = log.find('\n').map_or(log.len(), |at| at + 1);
-        log.drain(..end);
-    }
-}
-
 /// What is under way, once a second and whenever a fault is played.
 pub enum Report<'a> {
     /// So much time has passed, and this is in the books.
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -6,6 +6,7 @@
 use birchswitch_standin::cost::{self, Way};
 use birchswitch_standin::fleet::{self, Plan, Report};
 use birchswitch_standin::process;
+use birchswitch_standin::process::block_on;
 use birchswitch_standin::rig::cases::{self, CASES};
 use birchswitch_standin::rig::leases;
 use birchswitch_standin::script::{Deed, Script};
@@ -165,8 +166,7 @@
     println!("{nodes} nodes, {servers} servers, {} s, load {}; script:", demo.seconds, demo.load);
     plan.script.to_string().lines().for_each(|l| println!("    {l}"));
     println!("\n{:>5}{:>9}{:>9}{:>7}{:>9}{:>8}", "s", "asked", "in time", "late", "refused", "failed");
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let book = tokio::task::LocalSet::new().block_on(&runtime, fleet::play(plan, progress))?;
+    let book = block_on(fleet::play(plan, progress))??;
     println!("\n{book}");
     match book.faults()[..] {
         [] => println!("no rule broken: each order had one final answer, none that may not ran twice"),
@@ -183,12 +183,14 @@
     }
     let wanted = |name: &str| arguments.cases.is_empty() || arguments.cases.iter().any(|n| n == name);
     let chosen = CASES.iter().filter(|c| wanted(c.name));
+    let of_leases = || leases::CASES.iter().filter(|c| wanted(c.name));
+    let seeds = || arguments.seed..arguments.seed + arguments.runs;
     if arguments.list {
         for case in chosen {
             println!("{}: {} nodes", case.name, case.nodes[0]);
             case.script.lines().for_each(|l| println!("    {}", l.trim()));
         }
-        for case in leases::CASES.iter().filter(|c| wanted(c.name)) {
+        for case in of_leases() {
             println!("{}: {} nodes, {} vote", case.name, case.nodes[0], case.nodes[1]);
             case.script.lines().for_each(|l| println!("    {}", l.trim()));
         }
@@ -199,9 +201,7 @@
         None => build_node()?,
     };
     if let Some(nodes) = arguments.idle {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        let idle = cases::idle(nodes.into(), binary, Duration::from_secs(30));
-        let idle = tokio::task::LocalSet::new().block_on(&runtime, idle)?;
+        let idle = block_on(cases::idle(nodes.into(), binary, Duration::from_secs(30)))??;
         println!(
             "{nodes} processes, one membership after {:.1} s; each {:.2}% of a core (most {:.2}%), {:.1} datagrams and {:.0} \
              bytes a second",
@@ -219,10 +219,8 @@
     );
     let mut sound = true;
     for case in chosen {
-        for seed in arguments.seed..arguments.seed + arguments.runs {
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-            let played = cases::play(case, binary.clone(), seed, |_| {});
-            let outcome = tokio::task::LocalSet::new().block_on(&runtime, played)?;
+        for seed in seeds() {
+            let outcome = block_on(cases::play(case, binary.clone(), seed, |_| {}))??;
             println!("{:<16}{seed:>6}{outcome}", case.name);
             if let Some(folder) = &arguments.keep {
                 std::fs::create_dir_all(folder)?;
@@ -243,15 +241,12 @@
             }
         }
     }
-    let chosen: Vec<_> = leases::CASES.iter().filter(|c| wanted(c.name)).collect();
-    if !chosen.is_empty() {
+    if of_leases().next().is_some() {
         println!("{:<16}{:>6}{:>9}{:>12}{:>12}{:>10}", "case", "seed", "acts", "grants", "lost", "gap, s");
     }
-    for case in chosen {
-        for seed in arguments.seed..arguments.seed + arguments.runs {
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-            let played = leases::play(case, binary.clone(), seed);
-            let outcome = tokio::task::LocalSet::new().block_on(&runtime, played)?;
+    for case in of_leases() {
+        for seed in seeds() {
+            let outcome = block_on(leases::play(case, binary.clone(), seed))??;
             println!(
                 "{:<16}{seed:>6}{:>9}{:>12}{:>12}{:>10.1}",
                 case.name,
@@ -272,7 +267,6 @@
         Some(path) => path,
         None => build_node()?,
     };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let one = |binary: &PathBuf, way, probes| -> Result<cost::Cost, Box<dyn Error>> {
         let plan = cost::Plan {
             binary: binary.clone(),
@@ -282,7 +276,7 @@
             servers: 16,
             length: Duration::from_secs(arguments.seconds.into()),
         };
-        Ok(tokio::task::LocalSet::new().block_on(&runtime, cost::measure(&plan))?)
+        Ok(block_on(cost::measure(&plan))??)
     };
     let ways = [Way::Http, Way::Thrift(Protocol::Compact), Way::Thrift(Protocol::Binary)];
     let mut cases: Vec<_> = ways.iter().map(|way| (way.to_string(), &binary, *way)).collect();
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -1,13 +1,18 @@
 //! A node's process: its configuration in a file of its own, its log, signals.
 
 use command_fds::{CommandFdExt, FdMapping};
+use std::cell::RefCell;
+use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::os::fd::{OwnedFd, RawFd};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
 use tempfile::TempDir;
 use tokio::process::{Child, Command};
+use tokio::task::LocalSet;
 
 /// Held while a process starts and while a socket is closed. Between fork and exec a child holds copies of all sockets
 /// of the tests beside it, so that one closed meanwhile stays open for its peer: a closing would come late, and a
@@ -73,6 +78,40 @@
     command.spawn()
 }
 
+/// Runs a future to its end on this thread, on a `LocalSet` as everything here wants one. What it left running goes with it.
+pub fn block_on<T>(future: impl Future<Output = T>) -> io::Result<T> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    Ok(LocalSet::new().block_on(&runtime, future))
+}
+
+/// Time that a process's first thread was given.
+pub fn cpu(pid: u32) -> Duration {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/schedstat")).unwrap_or_default();
+    Duration::from_nanos(text.split(' ').next().and_then(|n| n.parse().ok()).unwrap_or(0))
+}
+
+/// Whether a process is there, and not only left for its parent to ask after.
+pub fn runs(pid: u32) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    status.contains(") ") && !status.contains(") Z")
+}
+
+/// The address that a line of a node's log tells after some words.
+pub(crate) fn address_after(line: &str, words: &str) -> Option<SocketAddr> {
+    line.split(words).nth(1)?.trim().parse().ok()
+}
+
+/// Keeps a line of a log, and of those before it no more than a screenful.
+pub(crate) fn keep(log: &RefCell<String>, line: &str) {
+    let mut log = log.borrow_mut();
+    log.push_str(line);
+    log.push('\n');
+    while log.len() > 4096 {
+        let end = log.find('\n').map_or(log.len(), |at| at + 1);
+        log.drain(..end);
+    }
+}
+
 /// Sends a signal by name, such as `HUP`.
 pub async fn signal(child: &Child, name: &str) -> io::Result<()> {
     let ended = || io::Error::new(io::ErrorKind::NotFound, "the process has ended");
--- a/crates/standin/src/rig/cases.rs
+++ b/crates/standin/src/rig/cases.rs
@@ -3,7 +3,7 @@
 use super::checker::Checker;
 use super::history::{now, History};
 use super::{Plan, Rig, RigError};
-use crate::cost::cpu;
+use crate::process::cpu;
 use crate::script::{Entry, Script, ScriptError};
 use std::fmt;
 use std::path::PathBuf;
@@ -159,17 +159,7 @@
     let [nodes, spare] = case.nodes;
     let mut script = Script::parse(case.script, 0, nodes)?;
     script.seed = seed;
-    let plan = Plan {
-        binary,
-        nodes,
-        spare,
-        zones: 4,
-        cluster: String::new(),
-        lease: None,
-        servers: Vec::new(),
-        streams: false,
-        script,
-    };
+    let plan = Plan { spare, zones: 4, ..Plan::new(binary, nodes, script) };
     let mut rig = Rig::start(plan).await?;
     rig.agreed(Duration::from_secs(60)).await?;
     let (began, before) = (now(), rig.wire().passed().sent[0]);
@@ -249,20 +239,8 @@
 
 /// Starts so many processes, lets them find each other and watches them for so long.
 pub async fn idle(nodes: usize, binary: PathBuf, length: Duration) -> Result<Idle, RigError> {
-    let script = Script::default();
-    let cluster = String::new();
-    let mut rig = Rig::start(Plan {
-        binary,
-        nodes,
-        spare: 0,
-        zones: 4,
-        cluster,
-        lease: None,
-        servers: Vec::new(),
-        streams: false,
-        script,
-    })
-    .await?;
+    let plan = Plan { zones: 4, ..Plan::new(binary, nodes, Script::default()) };
+    let mut rig = Rig::start(plan).await?;
     let agreed = rig.agreed(Duration::from_secs(120)).await?;
     let spent = |rig: &Rig| rig.places().iter().filter_map(|n| rig.pid(*n)).map(cpu).collect::<Vec<_>>();
     let (before, sent) = (spent(&rig), rig.wire().passed().sent);
--- a/crates/standin/src/rig/leases.rs
+++ b/crates/standin/src/rig/leases.rs
@@ -107,23 +107,9 @@
     let [nodes, voters] = case.nodes;
     let mut script = Script::parse(case.script, 0, nodes)?;
     script.seed = seed;
-    let lease = LeasePlan {
-        voters,
-        lines: "ttl = \"2s\"\nround = \"200ms\"".to_owned(),
-        rates: case.rates.to_vec(),
-        without: case.without.to_vec(),
-    };
-    let plan = Plan {
-        binary,
-        nodes,
-        spare: 0,
-        zones: 1,
-        cluster: String::new(),
-        lease: Some(lease.clone()),
-        servers: Vec::new(),
-        streams: false,
-        script,
-    };
+    let (rates, without) = (case.rates.to_vec(), case.without.to_vec());
+    let lease = LeasePlan { rates, without, ..LeasePlan::new(voters) };
+    let plan = Plan { lease: Some(lease.clone()), ..Plan::new(binary, nodes, script) };
     let mut rig = Rig::start(plan).await?;
     rig.agreed(Duration::from_secs(60)).await?;
     let acts: Rc<RefCell<Vec<Act>>> = Rc::default();
--- a/crates/standin/src/rig/mod.rs
+++ b/crates/standin/src/rig/mod.rs
@@ -11,9 +11,11 @@
 pub mod streams;
 pub mod wire;
 
+use crate::fleet::LISTENING;
 use crate::process::{self, ConfigFile};
 use crate::registry::Registry;
 use crate::script::{Deed, End, Entry, Far, Nodes, NodesFault, Script, WireFault};
+use crate::scripted::member;
 use birchswitch_lab::chance::Chance;
 use history::{now, Did, History, Line};
 use rustix::process::{kill_process, Pid, Signal};
@@ -45,8 +47,6 @@
     pub spare: usize,
     /// Zones, each of nodes in a row.
     pub zones: usize,
-    /// Further lines of the `[cluster]` table.
-    pub cluster: String,
     /// Leases, if nodes take part in them.
     pub lease: Option<LeasePlan>,
     /// Servers that discovery tells of. None: twenty at addresses where nobody listens.
@@ -57,6 +57,13 @@
     pub script: Script,
 }
 
+impl Plan {
+    /// Nodes of one zone, without leases, whose servers nobody is.
+    pub fn new(binary: PathBuf, nodes: usize, script: Script) -> Self {
+        Plan { binary, nodes, spare: 0, zones: 1, lease: None, servers: Vec::new(), streams: false, script }
+    }
+}
+
 /// What nodes are told of leases.
 #[derive(Clone, Debug)]
 pub struct LeasePlan {
@@ -71,6 +78,12 @@
 }
 
 impl LeasePlan {
+    /// Leases that live for 2 s, by true clocks and with all safeguards.
+    pub fn new(voters: usize) -> Self {
+        let lines = "ttl = \"2s\"\nround = \"200ms\"".to_owned();
+        LeasePlan { voters, lines, rates: Vec::new(), without: Vec::new() }
+    }
+
     /// The rate of a node's lease clock.
     pub fn rate(&self, node: usize) -> f64 {
         match self.rates.len() {
@@ -129,7 +142,7 @@
     child: Child,
     listen: SocketAddr,
     operators: Option<SocketAddr>,
-    log: Rc<RefCell<Vec<String>>>,
+    log: Rc<RefCell<String>>,
     _files: [ConfigFile; 2],
 }
 
@@ -210,11 +223,9 @@
         // Places without ways of their own share one registry.
         let own = if self.plan.streams { &self.around[..] } else { &self.around[..1] };
         for around in own {
-            let address = around.servers[server].to_string();
-            around.registry.tell(
-                json!({"id": format!("s{server}"), "host_port": address, "locality": "here", "flavor": "std",
-                                        "cell": server / 4, "phase": phase, "size": 1.0, "up_since_ms": 0}),
-            );
+            let mut told = member(&format!("s{server}"), around.servers[server], phase);
+            told["cell"] = json!(server / 4);
+            around.registry.tell(told);
         }
     }
 
@@ -235,8 +246,8 @@
         let seeds = (0..self.plan.nodes.min(3)).map(at).collect::<Result<Vec<_>, _>>()?;
         let zone = node * self.plan.zones.max(1) / self.plan.nodes.max(1);
         let operator = format!(
-            "[log]\njson = \"stderr\"\n[cluster]\nname = \"rig\"\nbind = \"{}:0\"\nadvertise = \"{}\"\nseeds = {}\nzone = \"z{zone}\"\n{}\n",
-            wire::host(place, false), at(place)?, json!(seeds), self.plan.cluster
+            "[log]\njson = \"stderr\"\n[cluster]\nname = \"rig\"\nbind = \"{}:0\"\nadvertise = \"{}\"\nseeds = {}\nzone = \"z{zone}\"\n",
+            wire::host(place, false), at(place)?, json!(seeds)
         );
         let lease = match &self.plan.lease {
             Some(lease) => {
@@ -256,15 +267,15 @@
         let mut child = process::start(&self.plan.binary, &file, &[("GW_OPERATOR", &path)])
             .map_err(io(format!("starting {name} ({})", self.plan.binary.display())))?;
         let mut lines = BufReader::new(child.stderr.take().expect("it is piped")).lines();
-        let log = Rc::new(RefCell::new(Vec::new()));
+        let log = Rc::new(RefCell::new(String::new()));
         let (start, record, kept) = (self.starts[place], self.record.clone(), log.clone());
         self.starts[place] += 1;
         let (wire, ready) = (self.wire.clone(), Rc::new(RefCell::new(Told::default())));
         let told = ready.clone();
         spawn_local(async move {
             while let Ok(Some(text)) = lines.next_line().await {
-                let address = |after| text.split(after).nth(1).and_then(|a: &str| a.trim().parse().ok());
-                if let Some(listen) = address("listening on ") {
+                let address = |words| process::address_after(&text, words);
+                if let Some(listen) = address(LISTENING) {
                     told.borrow_mut().listen = Some(listen);
                 } else if let Some(operators) = address("operators call ") {
                     told.borrow_mut().operators = Some(operators);
@@ -275,10 +286,7 @@
                     }
                     record.history.borrow_mut().lines.push(line);
                 }
-                let mut kept = kept.borrow_mut();
-                kept.push(text);
-                let over = kept.len().saturating_sub(40);
-                kept.drain(..over);
+                process::keep(&kept, &text);
                 record.came.notify_waiters();
             }
         });
@@ -288,7 +296,7 @@
         let told = || ready.borrow().listen.zip(ready.borrow().operators);
         let waited = self.wait(PATIENCE, || up(&self.record.history.borrow()) && told().is_some()).await;
         let Some((listen, operators)) = told().filter(|_| waited) else {
-            let log = log.borrow().join("\n");
+            let log = log.borrow().clone();
             return Err(RigError::Ended { place, what: "did not come up".into(), log });
         };
         self.around[place].listens.send_replace(Some(listen));
@@ -401,7 +409,7 @@
         match ended {
             Ok(Ok(status)) if silent || status.success() => Ok(()),
             other => {
-                let log = process.log.borrow().join("\n");
+                let log = process.log.borrow().clone();
                 Err(RigError::Ended { place, what: format!("ended with {other:?}"), log })
             }
         }
@@ -424,7 +432,7 @@
     fn check(&mut self) -> Result<(), RigError> {
         for (place, process) in self.processes.iter_mut().enumerate() {
             if let Some(Ok(Some(status))) = process.as_mut().map(|p| p.child.try_wait()) {
-                let log = process.as_ref().map(|p| p.log.borrow().join("\n")).unwrap_or_default();
+                let log = process.as_ref().map(|p| p.log.borrow().clone()).unwrap_or_default();
                 return Err(RigError::Ended { place, what: format!("ended with {status}"), log });
             }
         }
--- a/node/src/lease_run.rs
+++ b/node/src/lease_run.rs
@@ -131,9 +131,8 @@
     ops: SocketAddr,
     command: &[String],
 ) -> Result<ExitCode, Box<dyn Error>> {
-    let [mut terminate, mut interrupt] = [SignalKind::terminate(), SignalKind::interrupt()].map(signal);
-    let (terminate, interrupt) =
-        (terminate.as_mut().map_err(|e| e.to_string())?, interrupt.as_mut().map_err(|e| e.to_string())?);
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
     let Ok(stream) = TcpStream::connect(ops).await else {
         eprintln!("birchswitch lease: no node answers at {ops}");
         return Ok(UNAVAILABLE.into());
@@ -153,15 +152,16 @@
             }
             Told::Waiting => {}
         }
-        if wait.is_some_and(|until| Instant::now() >= until) {
+        let over = tokio::select! {
+            _ = terminate.recv() => true,
+            _ = interrupt.recv() => true,
+            () = tokio::time::sleep(POLL) => wait.is_some_and(|until| Instant::now() >= until),
+        };
+        if over {
             release(node).await;
             return Ok(NOT_HELD.into());
         }
-        tokio::select! {
-            _ = terminate.recv() => { release(node).await; return Ok(NOT_HELD.into()) }
-            _ = interrupt.recv() => { release(node).await; return Ok(NOT_HELD.into()) }
-            () = tokio::time::sleep(POLL) => told = node.ask("\n").await,
-        }
+        told = node.ask("\n").await;
     };
     let mut child = tokio::process::Command::new(&command[0])
         .args(&command[1..])
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -21,6 +21,7 @@
 use clap::{Parser, Subcommand};
 use config::{Config, RESERVED_SOCKETS};
 use std::error::Error;
+use std::future::Future;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -62,9 +63,8 @@
 fn main() -> ExitCode {
     let command = Arguments::parse().command;
     let run = || -> Result<ExitCode, Box<dyn Error>> {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         if let Some(Command::Lease(lease)) = command {
-            return LocalSet::new().block_on(&runtime, lease_run::run(lease));
+            return block_on(lease_run::run(lease));
         }
         let config = Config::from_env()?;
         if matches!(command, Some(Command::Check)) {
@@ -74,7 +74,7 @@
             println!("fine: {listeners} Thrift listeners{}", cluster.unwrap_or_default());
             return Ok(ExitCode::SUCCESS);
         }
-        LocalSet::new().block_on(&runtime, run(config)).map(|()| ExitCode::SUCCESS)
+        block_on(run(config)).map(|()| ExitCode::SUCCESS)
     };
     run().unwrap_or_else(|error| {
         eprintln!("birchswitch: {error}");
@@ -82,6 +82,12 @@
     })
 }
 
+/// Runs a future to its end on this thread.
+fn block_on<T>(future: impl Future<Output = Result<T, Box<dyn Error>>>) -> Result<T, Box<dyn Error>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, future)
+}
+
 async fn run(config: Config) -> Result<(), Box<dyn Error>> {
     let _log = config.operator.log.as_ref().map(log::start).transpose()?;
     let mut terminate = signal(SignalKind::terminate())?;
--- a/node/tests/leases.rs
+++ b/node/tests/leases.rs
@@ -1,6 +1,6 @@
 //! Leases among processes: no two act at once, whatever fails; what breaks without a safeguard is found; commands run under a lease.
 
-use birchswitch_standin::process::{node_binary, signal};
+use birchswitch_standin::process::{block_on, node_binary, runs, signal};
 use birchswitch_standin::rig::leases::{play, Case, Outcome, CASES, SOUND};
 use birchswitch_standin::rig::{LeasePlan, Plan, Rig};
 use birchswitch_standin::script::Script;
@@ -11,14 +11,12 @@
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
-use tokio::task::LocalSet;
 use tokio::time::{sleep, Instant};
 
 const SEED: u64 = 1;
 
 fn on_a_set<T>(test: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, test)
+    block_on(test).expect("a runtime")
 }
 
 fn outcome(case: &Case, seed: u64) -> Outcome {
@@ -108,23 +106,9 @@
 
 /// Three nodes, all of which vote, and where operators call them.
 async fn electorate() -> (Rig, Vec<SocketAddr>) {
-    let lease = LeasePlan {
-        voters: 3,
-        lines: "ttl = \"2s\"\nround = \"200ms\"".to_owned(),
-        rates: Vec::new(),
-        without: Vec::new(),
-    };
-    let plan = Plan {
-        binary: node_binary().expect("this program's path"),
-        nodes: 3,
-        spare: 0,
-        zones: 1,
-        cluster: String::new(),
-        lease: Some(lease),
-        servers: Vec::new(),
-        streams: false,
-        script: Script { seed: SEED, entries: Vec::new() },
-    };
+    let script = Script { seed: SEED, entries: Vec::new() };
+    let plan = Plan::new(node_binary().expect("this program's path"), 3, script);
+    let plan = Plan { lease: Some(LeasePlan::new(3)), ..plan };
     let rig = Rig::start(plan).await.expect("a rig");
     rig.agreed(Duration::from_secs(60)).await.expect("one membership");
     let desks = (0..3).map(|n| rig.operators(n).expect("it runs")).collect();
@@ -216,7 +200,7 @@
         assert!(call(desks[0], "ENDLEASE a").await.starts_with("SUCCESS 1 told"));
         let (code, _, why) = ended(held).await;
         assert_eq!(code, Some(76), "{why}");
-        assert!(!alive(forked), "what it forked is gone");
+        assert!(!runs(forked), "what it forked is gone");
         assert_eq!(ended(lease_run(desks[1], "a", &["--wait", "5"], "true")).await.0, Some(0));
 
         // The node that it was held through is killed: nobody extends it.
@@ -250,8 +234,3 @@
         assert!(killed.elapsed() > Duration::from_millis(1100), "{:?}", killed.elapsed());
     });
 }
-
-fn alive(pid: u32) -> bool {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-    status.contains(") ") && !status.contains(") Z")
-}
--- a/node/tests/members.rs
+++ b/node/tests/members.rs
@@ -3,7 +3,7 @@
 
 use birchswitch_cluster::wire::{self, Body, Message, News, Sender};
 use birchswitch_cluster::{Life, MemberId, Record};
-use birchswitch_standin::process::node_binary;
+use birchswitch_standin::process::{block_on, cpu, node_binary, runs};
 use birchswitch_standin::rig::{cases, Plan, Rig};
 use birchswitch_standin::script::Script;
 use birchswitch_standin::scripted::*;
@@ -11,10 +11,8 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::task::LocalSet;
 use tokio::time::{sleep, timeout};
 
 const SEED: u64 = 1;
@@ -22,18 +20,7 @@
 fn plan(nodes: usize, script: &str) -> Plan {
     let mut script = Script::parse(script, 0, nodes).expect("a script");
     script.seed = SEED;
-    let binary = node_binary().expect("this program's path");
-    Plan {
-        binary,
-        nodes,
-        spare: 0,
-        zones: 1,
-        cluster: String::new(),
-        lease: None,
-        servers: Vec::new(),
-        streams: false,
-        script,
-    }
+    Plan::new(node_binary().expect("this program's path"), nodes, script)
 }
 
 async fn rig(plan: Plan) -> Rig {
@@ -43,8 +30,7 @@
 }
 
 fn on_a_set(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, test);
+    block_on(test).expect("a runtime");
 }
 
 fn holds(name: &str) {
@@ -86,12 +72,6 @@
     holds("stutter-short");
 }
 
-/// A process is gone, or only left for its parent to ask after.
-fn gone(pid: u32) -> bool {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-    !status.contains(") ") || status.contains(") Z")
-}
-
 /// Also those that are stopped, and when whoever holds the rig panics.
 #[test]
 fn nothing_is_left_running_after_a_panic() {
@@ -108,7 +88,7 @@
         assert_eq!(pids.len(), 3);
         assert!(panics.await.is_err());
         within("the processes' end", async {
-            while !pids.iter().all(|p| gone(*p)) {
+            while pids.iter().any(|p| runs(*p)) {
                 sleep(Duration::from_millis(20)).await;
             }
         })
@@ -173,20 +153,13 @@
     });
 }
 
-/// The time that a process has been given, in hundredths of a second.
-fn given(pid: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-    let after_name = status.rsplit(") ").next().unwrap_or_default();
-    after_name.split(' ').skip(11).take(2).filter_map(|n| n.parse::<u64>().ok()).sum()
-}
-
 /// Requests fill the node's one thread, on which membership runs too.
 #[test]
 fn a_node_at_full_load_is_not_declared_dead() {
     on_a_set(async {
         let rig = rig(plan(4, "")).await;
         let (address, pid) = (rig.listen(0).expect("it runs"), rig.pid(0).expect("it runs"));
-        let before = given(pid);
+        let before = cpu(pid);
         let mut clients = tokio::task::JoinSet::new();
         for _ in 0..32 {
             clients.spawn_local(async move {
@@ -200,7 +173,7 @@
             });
         }
         within("two seconds of work", async {
-            while given(pid) < before + 200 {
+            while cpu(pid) < before + Duration::from_secs(2) {
                 sleep(Duration::from_millis(20)).await;
             }
         })
@@ -292,7 +265,7 @@
         let history = rig.history();
         let verdicts = history.lines.iter().filter(|l| l.kind == "verdict" && l.text("member") != "stranger");
         assert_eq!(verdicts.count(), 0);
-        assert!(Path::new(&format!("/proc/{}", rig.pid(0).expect("it runs"))).exists());
+        assert!(runs(rig.pid(0).expect("it runs")));
     });
 }
 
