Lease run: a node that stands still no longer keeps its command beyond the guard

The caller waited 2 s for an answer whatever was left of the guard (node/src/lease_run.rs, hold): with a ttl of 1 s and the node stopped, the next holder found the command of the one before still running, in 3 of 3 runs of the new test.

--- a/node/src/lease_run.rs
+++ b/node/src/lease_run.rs
@@ -180,8 +180,9 @@
             status = child.wait() => break Some(status?),
             _ = terminate.recv() => drop(send(Signal::TERM)),
             _ = interrupt.recv() => drop(send(Signal::INT)),
-            () = tokio::time::sleep(POLL.min(left)) => match node.ask("\n").await {
-                Told::Held(_, _, later) => guard = guard.max(later),
+            // A node that does not answer in half of the time that is left says nothing for it any more: the other half is the command's, to end.
+            () = tokio::time::sleep(POLL.min(left / 4)) => match timeout(left / 2, node.ask("\n")).await {
+                Ok(Told::Held(_, _, later)) => guard = guard.max(later),
                 _ => break end(&mut child, guard, send).await?,
             },
         }
--- a/node/tests/leases.rs
+++ b/node/tests/leases.rs
@@ -106,9 +106,14 @@
 
 /// Three nodes, all of which vote, and where operators call them.
 async fn electorate() -> (Rig, Vec<SocketAddr>) {
-    let script = Script { seed: SEED, entries: Vec::new() };
+    electorate_with("", LeasePlan::new(3)).await
+}
+
+async fn electorate_with(script: &str, lease: LeasePlan) -> (Rig, Vec<SocketAddr>) {
+    let mut script = Script::parse(script, 0, 3).expect("a script");
+    script.seed = SEED;
     let plan = Plan::new(node_binary().expect("this program's path"), 3, script);
-    let plan = Plan { lease: Some(LeasePlan::new(3)), ..plan };
+    let plan = Plan { lease: Some(lease), ..plan };
     let rig = Rig::start(plan).await.expect("a rig");
     rig.agreed(Duration::from_secs(60)).await.expect("one membership");
     let desks = (0..3).map(|n| rig.operators(n).expect("it runs")).collect();
@@ -189,13 +194,20 @@
     });
 }
 
+/// Ignores SIGTERM, and tells the number of what it forked, which does so too.
+const STUBBORN: &str = "trap '' TERM; (trap '' TERM; sleep 30) & echo $!; wait; sleep 30";
+
+/// Prints something if that process is there.
+fn still_there(pid: u32) -> String {
+    format!("test -d /proc/{pid} && grep -v Z /proc/{pid}/stat; true")
+}
+
 /// A command that ignores SIGTERM, and what it forked, are gone before the lease is.
 #[test]
 fn a_command_ends_before_its_lease_does() {
     on_a_set(async {
         let (mut rig, desks) = electorate().await;
-        let stubborn = "trap '' TERM; (trap '' TERM; sleep 300) & echo $!; wait; sleep 300";
-        let mut held = lease_run(desks[0], "a", &[], stubborn);
+        let mut held = lease_run(desks[0], "a", &[], STUBBORN);
         let forked: u32 = line(&mut held).await.parse().expect("a process's number");
         assert!(call(desks[0], "ENDLEASE a").await.starts_with("SUCCESS 1 told"));
         let (code, _, why) = ended(held).await;
@@ -204,21 +216,39 @@
         assert_eq!(ended(lease_run(desks[1], "a", &["--wait", "5"], "true")).await.0, Some(0));
 
         // The node that it was held through is killed: nobody extends it.
-        let mut held = lease_run(desks[0], "a", &[], stubborn);
+        let mut held = lease_run(desks[0], "a", &[], STUBBORN);
         let forked: u32 = line(&mut held).await.parse().expect("a process's number");
         rig.kill(0).await.expect("killed");
-        let next = lease_run(
-            desks[1],
-            "a",
-            &[],
-            &format!("test -d /proc/{forked} && grep -v Z /proc/{forked}/stat; true"),
-        );
+        let next = lease_run(desks[1], "a", &[], &still_there(forked));
         let (code, still_there, _) = ended(next).await;
         assert_eq!((code, still_there.as_str()), (Some(0), ""), "the next holder finds it gone");
         assert_eq!(ended(held).await.0, Some(76));
     });
 }
 
+/// The node that a lease is held through stops without a word, so that its caller waits for answers in vain: the command is gone all the
+/// same when the next holder comes.
+#[test]
+fn a_command_ends_in_time_when_its_node_stands_still() {
+    on_a_set(async {
+        // Shorter than the caller waits for an answer.
+        let lines = "ttl = \"1s\"\nround = \"100ms\"".to_owned();
+        let lease = LeasePlan { lines, ..LeasePlan::new(3) };
+        let (mut rig, desks) = electorate_with("0s n0 pause 8s", lease).await;
+        let mut held = lease_run(desks[0], "a", &[], STUBBORN);
+        let forked: u32 = line(&mut held).await.parse().expect("a process's number");
+        let stopped = tokio::task::spawn_local(async move {
+            rig.play(|_| ()).await.expect("the script");
+            rig
+        });
+        let next = lease_run(desks[1], "a", &[], &still_there(forked));
+        let (code, found, _) = ended(next).await;
+        assert_eq!((code, found.as_str()), (Some(0), ""), "the next holder finds it gone");
+        assert_eq!(ended(held).await.0, Some(76));
+        stopped.await.expect("it was played");
+    });
+}
+
 /// The client of a lease is killed itself: its command goes on, so that the lease must not be given back before its time.
 #[test]
 fn a_lease_whose_client_is_killed_runs_out() {
