One node of a zone asks silent servers for all: tasks of a whole fleet, and the first of them

Leases had no task inside the node. Now there are Tasks (who wants which by rendezvous hashing, begun on the grant, told before the end, stopped by the guard, handed over) and the first: whoever finds a server silent tells the one node of its zone, which asks until it answers; the others spare their own questions for 30 s at most and look for themselves once it is said to be back. Nothing without [health].

--- a/crates/cluster/src/member.rs
+++ b/crates/cluster/src/member.rs
@@ -63,6 +63,11 @@
     /// Revision of the list of servers that the member holds, 8 bytes little endian. Written by the node's wiring, read by
     /// `MEMBERS`: who lags behind discovery.
     ServerList,
+    /// Tasks of which the fleet runs one each and this member runs, four bytes each. Written and read by the leases' host.
+    Tasks,
+    /// Servers that are silent, by the one node of a zone that asks for all (`birchswitch_health::encode`). Written and read by the
+    /// node's wiring.
+    Silent,
     /// Bytes for drills and tests; nothing in the program reads them.
     Drill,
 }
@@ -73,6 +78,8 @@
         match self {
             Topic::ServerList => 1,
             Topic::Drill => 2,
+            Topic::Tasks => 3,
+            Topic::Silent => 4,
         }
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -167,6 +167,13 @@
         }
     }
 
+    /// Asks a server that takes new requests for its load, though the decisions did not: they are told what it says.
+    pub fn ask(&mut self, now: Time, server: ServerId) {
+        if self.servers.get(&server).is_some_and(|s| s.state == ServerState::Ready) {
+            self.probe(now, server);
+        }
+    }
+
     /// A probe ended. Those that were given up meanwhile have ended already.
     pub fn probed(&mut self, now: Time, probe: ProbeId, outcome: Outcome, report: Option<LoadReport>) {
         let Some((server, began)) = self.probes.remove(&probe) else { return };
--- a/crates/figures/src/lib.rs
+++ b/crates/figures/src/lib.rs
@@ -20,6 +20,7 @@
 //! | `app_cluster_suspicions`, `app_cluster_refutations`, `app_cluster_verdicts` | counter | ... others suspected, own death refuted, others declared dead by this node |
 //! | `app_leases{state}` | gauge | with `[lease]`: leases `held` and `waiting` at this node |
 //! | `app_lease_granted`, `app_lease_lost`, `app_lease_refused`, `app_lease_votes` | counter | ... granted to this node, lost without being given up, tries that came to nothing, grants voted for |
+//! | `app_probes_spared` | counter | with `[health]`: questions to silent servers that were left to another node |
 //! | `app_cluster_health` | gauge | ... how badly this node hears others: 0 (well) to 8 |
 //! | `app_sighup_applied`, `app_sighup_rejected` | counter | configurations read again: taken up, turned down |
 
@@ -73,6 +74,7 @@
     pub reload_failed: IntCounter,
     cluster: OnceCell<Cluster>,
     leases: OnceCell<LeaseGauges>,
+    spared: OnceCell<IntCounter>,
 }
 
 /// What a node knows and counts of the others.
@@ -237,6 +239,7 @@
             reload_failed: counter("sighup_rejected", "Configurations read again and turned down.")?,
             cluster: OnceCell::new(),
             leases: OnceCell::new(),
+            spared: OnceCell::new(),
             registry,
         }))
     }
@@ -258,6 +261,17 @@
         once(&self.leases, || LeaseGauges::new(&self.registry)).iter().for_each(|l| l.set(now));
     }
 
+    /// Questions to servers that were left to another node. This figure is there from the first call on.
+    pub fn spared(&self, now: u64) {
+        let new = || {
+            kept(
+                &self.registry,
+                IntCounter::new("probes_spared", "Questions to servers left to another node."),
+            )
+        };
+        once(&self.spared, new).iter().for_each(|c| raise(c, now));
+    }
+
     /// All of them, a line each, with what they are about in comments between.
     pub fn text(&self) -> String {
         // The encoder fails on families without a name or a value; there are none.
--- /dev/null
+++ b/crates/health/src/spare.rs
@@ -0,0 +1,74 @@
+//! Every node's side: whom it found silent, which of its own questions are spared, and whom to ask once it is said to be back.
+
+use crate::{Short, Time, OWN};
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::time::Duration;
+
+/// A server that this node found silent is reported again after this time, for as long as nobody tells of it.
+const REPORT: Duration = Duration::from_secs(5);
+
+struct Silent {
+    /// When this node last looked by itself: asked, or met that silence.
+    looked: Time,
+    reported: Option<Time>,
+    told: bool,
+}
+
+/// What this node met at servers, and what it was told of them.
+#[derive(Default)]
+pub struct Spare {
+    /// Whose last sign was silence.
+    silent: FxHashMap<u64, Silent>,
+    told: FxHashSet<Short>,
+}
+
+impl Spare {
+    /// From now on just these are told of as silent. Returns servers of which that was told and is no more, and whose last sign to this
+    /// node was silence: one question of its own to each shows it whether they are back.
+    pub fn told(&mut self, silent: impl Iterator<Item = Short>) -> Vec<u64> {
+        self.told = silent.collect();
+        let mut back = Vec::new();
+        for (name, server) in &mut self.silent {
+            let told = self.told.contains(&Short::of(*name));
+            if server.told && !told {
+                back.push(*name);
+            }
+            server.told = told;
+        }
+        back.sort_unstable();
+        back
+    }
+
+    /// From now on there are just these servers, by the hashes of their names.
+    pub fn list(&mut self, names: &FxHashSet<u64>) {
+        self.silent.retain(|name, _| names.contains(name));
+    }
+
+    /// An attempt or a question of this node's own ended: the server said something, or nothing came. True: this is to be
+    /// reported.
+    pub fn met(&mut self, now: Time, name: u64, spoke: bool) -> bool {
+        if spoke {
+            // Of those that answer nothing need be kept.
+            self.silent.remove(&name);
+            return false;
+        }
+        let told = self.told.contains(&Short::of(name));
+        let server = self.silent.entry(name).or_insert(Silent { looked: now, reported: None, told });
+        server.looked = now;
+        if told || server.reported.is_some_and(|at| now < at + REPORT) {
+            return false;
+        }
+        server.reported = Some(now);
+        true
+    }
+
+    /// Whether a question to a server is spared. If not it goes out now.
+    pub fn spares(&mut self, now: Time, name: u64) -> bool {
+        let Some(server) = self.silent.get_mut(&name) else { return false };
+        if server.told && now < server.looked + OWN {
+            return true;
+        }
+        server.looked = now;
+        false
+    }
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod health;
 pub mod pool;
 
 use birchswitch_engine::{
@@ -16,12 +17,14 @@
 };
 use birchswitch_figures::Disposition;
 pub use birchswitch_figures::Figures;
+use birchswitch_health::Short;
 use birchswitch_membership::{list::ServerList, Directory, Target};
 use finchvale::{
     Balancer, ClassId, ListKind, LoadReport, Outcome, RequestId, ServerEntry, ServerId, Settings,
     SettingsError, Time,
 };
-use rustc_hash::FxHashMap;
+use health::Health;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::future::Future;
@@ -109,7 +112,9 @@
     replies: RefCell<FxHashMap<RequestId, Owed<U::Answer>>>,
     figures: Rc<Figures>,
     attempts: RefCell<FxHashMap<AttemptId, AbortHandle>>,
-    probes: RefCell<FxHashMap<ProbeId, AbortHandle>>,
+    probes: RefCell<FxHashMap<ProbeId, (ServerId, AbortHandle)>>,
+    /// Where one node asks silent servers for many.
+    health: RefCell<Option<Health>>,
     /// When the timer goes off next, and how to tell it of something earlier.
     timer: Cell<Option<Time>>,
     earlier: Notify,
@@ -146,6 +151,7 @@
             figures,
             attempts: RefCell::default(),
             probes: RefCell::default(),
+            health: RefCell::default(),
             timer: Cell::new(None),
             earlier: Notify::new(),
             watch: RefCell::new(Box::new(|| {})),
@@ -264,7 +270,58 @@
         update.entries
     }
 
+    // ---- asking for others ----
+    /// From now on servers that fall silent are reported, by the hashes of their names, and questions to those that are
+    /// [told of](Host::told_silent) as silent are spared. To be called before any list comes.
+    pub fn on_silence(&self, report: impl Fn(u64) + 'static) {
+        *self.health.borrow_mut() = Some(Health::new(Box::new(report)));
+    }
+
+    /// Another node asks these for this one, and they do not answer it. Servers of which that was said and is no more are asked once.
+    pub fn told_silent(&self, silent: &[Short]) {
+        let back = self.health.borrow_mut().as_mut().map(|h| h.told(silent)).unwrap_or_default();
+        for server in back {
+            self.with(|engine, now| engine.ask(now, server));
+        }
+    }
+
+    /// Servers that take new requests, by the hashes of their names; none unless [`Host::on_silence`] was called.
+    pub fn servers_to_ask(&self) -> FxHashSet<u64> {
+        self.health.borrow().as_ref().map(Health::listed).unwrap_or_default()
+    }
+
+    /// Asks a server on behalf of others: whether it says anything within that time. None: it takes no new requests, or this
+    /// node has no room.
+    pub async fn ask(&self, name: u64, patience: Duration) -> Option<bool> {
+        let server = self.health.borrow().as_ref()?.id(name)?;
+        let (tell, told) = oneshot::channel();
+        self.figures.probes.inc();
+        let ticket = ProbeTicket { host: self.me.clone(), asker: Asker::Others(tell) };
+        let asking = tokio::time::timeout(patience, self.upstream.clone().probe(server, ticket));
+        match asking.await {
+            Ok(()) => match told.await.ok()? {
+                Outcome::NotSent => None,
+                outcome => Some(outcome.spoken()),
+            },
+            Err(_) => Some(false),
+        }
+    }
+
+    /// Questions spared so far; none: nobody asks for this node.
+    pub fn spared(&self) -> Option<u64> {
+        self.health.borrow().as_ref().map(|h| h.spared)
+    }
+
+    fn met(&self, server: ServerId, outcome: Outcome) {
+        if let Some(health) = self.health.borrow_mut().as_mut() {
+            health.met(server, outcome);
+        }
+    }
+
     fn told(&self, kind: ListKind, entries: Vec<ServerEntry>) {
+        if let Some(health) = self.health.borrow_mut().as_mut() {
+            health.list(matches!(kind, ListKind::Full | ListKind::Cached), &entries);
+        }
         self.with(|engine, now| engine.list(now, kind, entries));
     }
 
@@ -311,7 +368,7 @@
     fn obey(&self, command: Command<U::Request, U::Answer>) {
         match command {
             Command::Start { attempt, server, request } => {
-                let ticket = Ticket { host: self.me.clone(), attempt };
+                let ticket = Ticket { host: self.me.clone(), attempt, server };
                 let task = spawn_local(self.upstream.clone().attempt(server, request, ticket));
                 self.attempts.borrow_mut().insert(attempt, task.abort_handle());
             }
@@ -326,13 +383,20 @@
                 }
             }
             Command::Probe { probe, server } => {
+                if self.health.borrow_mut().as_mut().is_some_and(|h| h.spares(server)) {
+                    let now = self.now();
+                    return self.engine.borrow_mut().probed(now, probe, Outcome::Unreachable, None);
+                }
                 self.figures.probes.inc();
-                let ticket = ProbeTicket { host: self.me.clone(), probe };
+                let ticket = ProbeTicket { host: self.me.clone(), asker: Asker::Decisions(probe) };
                 let task = spawn_local(self.upstream.clone().probe(server, ticket));
-                self.probes.borrow_mut().insert(probe, task.abort_handle());
+                self.probes.borrow_mut().insert(probe, (server, task.abort_handle()));
             }
             Command::CancelProbe(probe) => {
-                self.probes.borrow_mut().remove(&probe).iter().for_each(AbortHandle::abort);
+                if let Some((server, task)) = self.probes.borrow_mut().remove(&probe) {
+                    task.abort();
+                    self.met(server, Outcome::TimedOut);
+                }
             }
             Command::Watch => (self.watch.borrow())(),
             Command::Log(line) => self.log(format_args!("{line}")),
@@ -405,6 +469,7 @@
 pub struct Ticket<U: Upstream> {
     host: Weak<Host<U>>,
     attempt: AttemptId,
+    server: ServerId,
 }
 
 impl<U: Upstream> Ticket<U> {
@@ -434,21 +499,39 @@
     pub fn end(self, ended: Ended<U::Answer>) {
         let Some(host) = self.host.upgrade() else { return };
         host.attempts.borrow_mut().remove(&self.attempt);
+        host.met(self.server, ended.outcome);
         host.with(|engine, now| engine.ended(now, self.attempt, ended));
     }
 }
 
-/// One probe's line to the engine.
+/// Whom a probe's answer is for.
+enum Asker {
+    Decisions(ProbeId),
+    /// Other nodes, on whose behalf this one asks.
+    Others(oneshot::Sender<Outcome>),
+}
+
+/// One probe's line back.
 pub struct ProbeTicket<U: Upstream> {
     host: Weak<Host<U>>,
-    probe: ProbeId,
+    asker: Asker,
 }
 
 impl<U: Upstream> ProbeTicket<U> {
     /// Tells how the probe ended, and the server's word on its load.
     pub fn end(self, outcome: Outcome, report: Option<LoadReport>) {
+        let probe = match self.asker {
+            Asker::Decisions(probe) => probe,
+            // Who asked may have lost patience.
+            Asker::Others(tell) => {
+                let _ = tell.send(outcome);
+                return;
+            }
+        };
         let Some(host) = self.host.upgrade() else { return };
-        host.probes.borrow_mut().remove(&self.probe);
-        host.with(|engine, now| engine.probed(now, self.probe, outcome, report));
+        if let Some((server, _)) = host.probes.borrow_mut().remove(&probe) {
+            host.met(server, outcome);
+        }
+        host.with(|engine, now| engine.probed(now, probe, outcome, report));
     }
 }
--- a/crates/lab/src/agenda.rs
+++ b/crates/lab/src/agenda.rs
@@ -1,6 +1,7 @@
 //! What is to happen, in order of time.
 
 use birchswitch_engine::{AttemptId, ProbeId};
+use birchswitch_health::Short;
 use finchvale::{LoadReport, Outcome, ServerEntry, Time};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
@@ -44,6 +45,14 @@
         outcome: Outcome,
         report: Option<LoadReport>,
     },
+    /// One node of a hall asks the servers that are due.
+    Rounds(u8),
+    /// A node's word that a server is silent reaches the one that asks for its hall.
+    Reported(u8, u64),
+    /// Who is silent reaches the nodes of a hall.
+    Silent(u8, Rc<Vec<Short>>),
+    /// A node asks a server that is said to be back.
+    AskBack(usize, u64),
     /// Something is done at a server.
     Serve(usize),
     /// The registry has noticed something.
--- a/crates/lab/src/book.rs
+++ b/crates/lab/src/book.rs
@@ -126,8 +126,12 @@
     pub turned_away: u64,
     /// Of these, to another hall.
     pub crossed: u64,
-    /// Probes.
+    /// Probes, those of nodes that ask for others included.
     pub probes: u64,
+    /// Of these, to servers that could not answer.
+    pub unheard: u64,
+    /// Questions that nodes spared, since another asks for them.
+    pub spared: u64,
     /// New connections.
     pub handshakes: u64,
     /// Lists and changes to them that reached a node.
--- a/crates/lab/src/fleets.rs
+++ b/crates/lab/src/fleets.rs
@@ -1,15 +1,12 @@
 //! `birchswitch-lab members`: what membership costs and how well it tells, as tables.
 
-use crate::parallel::all;
+use crate::parallel::{at_a_time, cores};
 use birchswitch_lab::members::beats;
 use birchswitch_lab::members::measure::{
     detection, evenness, quantile, quiet, value, Detection, Quiet, Upheaval,
 };
 use clap::Args;
 
-/// The largest fleet for which every pair's heartbeats are counted.
-const MOST_BEATS: usize = 1_250;
-
 #[derive(Args)]
 pub struct Arguments {
     /// Tables to make; all where none is named
@@ -33,9 +30,22 @@
     /// Only this part of datagrams lost
     #[arg(long)]
     loss: Option<f64>,
+    /// Fleets played at a time: one of 5,000 takes 5 GB. All cores if not given
+    #[arg(long, value_parser = clap::value_parser!(u64).range(1..=1024))]
+    jobs: Option<u64>,
 }
 
 impl Arguments {
+    fn jobs(&self) -> usize {
+        self.jobs.map_or_else(cores, |j| j as usize)
+    }
+
+    /// Sizes and losses with heartbeats.
+    fn beaten(&self, sizes: &[usize]) -> Vec<(usize, f64)> {
+        let all = sizes.iter().flat_map(|s| [0.0, 0.1, 0.3].map(|loss| (*s, loss)));
+        all.filter(|(_, loss)| self.wants(*loss, true)).collect()
+    }
+
     fn wants(&self, loss: f64, baseline: bool) -> bool {
         !(self.own && baseline) && self.loss.is_none_or(|only| only == loss)
     }
@@ -55,13 +65,13 @@
 
 /// Each of the cases with each seed; results by case.
 fn by_case<C: Copy + Sync, O: Send + Default + Clone>(
+    a: &Arguments,
     cases: &[C],
-    seeds: u64,
     run: impl Fn(C, u64) -> O + Sync,
 ) -> Vec<Vec<O>> {
-    let inputs: Vec<(C, u64)> = cases.iter().flat_map(|c| (1..=seeds).map(move |s| (*c, s))).collect();
-    let done = all(&inputs, |(case, seed)| run(*case, *seed));
-    done.chunks(seeds as usize).map(<[O]>::to_vec).collect()
+    let inputs: Vec<(C, u64)> = cases.iter().flat_map(|c| (1..=a.seeds).map(move |s| (*c, s))).collect();
+    let done = at_a_time(a.jobs(), &inputs, |(case, seed)| run(*case, *seed));
+    done.chunks(a.seeds as usize).map(<[O]>::to_vec).collect()
 }
 
 fn mean(figures: impl Iterator<Item = f64>, of: usize) -> f64 {
@@ -96,7 +106,7 @@
         })
         .filter(|c| a.wants(c.1, c.2))
         .collect();
-    let rows = by_case(&cases, a.seeds, |(size, loss, careless), seed| {
+    let rows = by_case(a, &cases, |(size, loss, careless), seed| {
         detection(size, a.kills as usize, loss, careless, seed)
     });
     for ((size, loss, careless), row) in cases.iter().zip(rows) {
@@ -115,6 +125,14 @@
             row.iter().map(|d| d.false_verdicts).sum::<usize>()
         );
     }
+    for (size, loss) in a.beaten(sizes) {
+        let each: Vec<f64> = (1..=a.seeds).flat_map(|seed| beats::play(size, 0, loss, seed).each).collect();
+        let [median, p99, worst] = [0.5, 0.99, 1.0].map(|part| quantile(&each, part));
+        println!(
+            "| {size} | {:.0}% | heartbeats | - | - | {median:.2} | {p99:.2} | {worst:.2} | - |",
+            100.0 * loss
+        );
+    }
     println!();
 }
 
@@ -129,7 +147,7 @@
         .flat_map(|s| faults.into_iter().flat_map(move |f| [(*s, f, false), (*s, f, true)]))
         .filter(|c| a.wants(c.1 .0, c.2))
         .collect();
-    let rows = by_case(&cases, a.seeds, |(size, (loss, stutterers), careless), seed| {
+    let rows = by_case(a, &cases, |(size, (loss, stutterers), careless), seed| {
         quiet(size, a.seconds, loss, stutterers, careless, seed)
     });
     for ((size, (loss, stutterers), careless), row) in cases.iter().zip(rows) {
@@ -144,17 +162,15 @@
             mean(row.iter().map(|q| q.bytes), row.len())
         );
     }
-    for size in sizes.iter().filter(|s| **s <= MOST_BEATS && !a.own) {
-        for loss in [0.0, 0.1, 0.3] {
-            let b = beats::play(*size, a.seconds as u32, loss, 1);
-            println!(
-                "| {size} | {:.0}% | - | heartbeats | {} | {:.1} | {:.1} | - |",
-                100.0 * loss,
-                b.false_verdicts,
-                b.false_verdicts as f64 / (a.seconds as f64 / 3600.0),
-                b.datagrams
-            );
-        }
+    for (size, loss) in a.beaten(sizes) {
+        let b = beats::play(size, a.seconds as u32, loss, 1);
+        println!(
+            "| {size} | {:.0}% | - | heartbeats | {} | {:.1} | {:.1} | - |",
+            100.0 * loss,
+            b.false_verdicts,
+            b.false_verdicts as f64 / (a.seconds as f64 / 3600.0),
+            b.datagrams
+        );
     }
     println!();
 }
@@ -162,8 +178,12 @@
 fn values(a: &Arguments, sizes: &[usize]) {
     println!("seconds until a value of 64 bytes is known to all, {} seeds\n", a.seeds);
     println!("| members | loss | median | worst |\n| ---: | ---: | ---: | ---: |");
-    let cases: Vec<_> = sizes.iter().flat_map(|s| [0.0, 0.1, 0.3].map(|loss| (*s, loss))).collect();
-    let rows = by_case(&cases, a.seeds, |(size, loss), seed| value(size, loss, seed));
+    let cases: Vec<_> = sizes
+        .iter()
+        .flat_map(|s| [0.0, 0.1, 0.3].map(|loss| (*s, loss)))
+        .filter(|c| a.wants(c.1, false))
+        .collect();
+    let rows = by_case(a, &cases, |(size, loss), seed| value(size, loss, seed));
     for ((size, loss), row) in cases.iter().zip(rows) {
         println!(
             "| {size} | {:.0}% | {:.2} | {:.2} |",
@@ -180,7 +200,7 @@
     println!("| upheaval | within 1.15 after, s | worst | after 10 s |\n| --- | ---: | ---: | ---: |");
     let cases = [Upheaval::Join(40), Upheaval::Kill(0.7), Upheaval::Restart];
     let size = |u| if matches!(u, Upheaval::Join(_)) { 260 } else { 300 };
-    let rows = by_case(&cases, a.seeds, |case, seed| Some(evenness(size(case), case, seed)));
+    let rows = by_case(a, &cases, |case, seed| Some(evenness(size(case), case, seed)));
     for (case, row) in cases.iter().zip(rows) {
         let row: Vec<_> = row.into_iter().flatten().collect();
         let most = |of: fn(f64, f64) -> f64, figures: Vec<f64>| figures.into_iter().fold(0.0, of);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -31,6 +31,8 @@
     Account(Many),
     /// Every scenario with every peer: worth in time less prices, and rules broken.
     Table(Many),
+    /// What one node that asks servers for all saves in probes: each scenario without and with it.
+    Health(Many),
     /// Membership among nodes: detection, false verdicts, load, values and evenness, beside two baselines.
     Members(fleets::Arguments),
 }
@@ -102,6 +104,7 @@
         Command::Run(run) => one(&run),
         Command::Account(many) => account(&many),
         Command::Table(many) => table(&many),
+        Command::Health(many) => health(&many),
         Command::Members(members) => {
             fleets::report(&members);
             Ok(())
@@ -191,6 +194,45 @@
     Ok(all)
 }
 
+/// Plays each scenario as it is, and once more with one node of each hall that asks for all.
+fn health(many: &Many) -> Result<(), Box<dyn Error>> {
+    let names: Vec<String> = match many.scenarios.is_empty() {
+        true => ["death", "half-hall", "frozen", "fleet-calm", "fleet-zone"].map(str::to_owned).to_vec(),
+        false => many.scenarios.clone(),
+    };
+    println!("{} nodes, {} servers, {} seeds\n", many.size.nodes, many.size.servers, many.seeds);
+    println!("| scenario | one asks | probes a first try | of these unheard | spared | kept | after prices | rules broken |");
+    println!("| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: |");
+    let scenarios: Vec<Scenario> = names.iter().map(|n| read(n)).collect::<Result<_, _>>()?;
+    let both = |s: &Scenario| {
+        [false, true].map(|on| {
+            let mut s = s.clone();
+            s.nodes.health = on;
+            s
+        })
+    };
+    let scenarios: Vec<Scenario> = scenarios.iter().flat_map(both).collect();
+    let inputs: Vec<(&Scenario, u64)> =
+        scenarios.iter().flat_map(|s| (1..=many.seeds).map(move |seed| (s, seed))).collect();
+    let books = parallel::all(&inputs, |(s, seed)| Some(world::run(s, many.size, *seed, Peer::Own)));
+    let books: Vec<Book> = books.into_iter().flatten().collect::<Result<_, _>>()?;
+    for (k, (s, books)) in scenarios.iter().zip(books.chunks(many.seeds as usize)).enumerate() {
+        let each = |of: fn(&Book) -> u64| mean(books, |b| of(b) as f64 / b.firsts.max(1) as f64);
+        println!(
+            "| {} | {} | {:.3} | {:.4} | {:.4} | {:.2} | {:.2} | {} |",
+            names[k / 2],
+            if s.nodes.health { "yes" } else { "no" },
+            each(|b| b.probes),
+            each(|b| b.unheard),
+            each(|b| b.spared),
+            100.0 * mean(books, Book::kept),
+            100.0 * mean(books, |b| b.net(&s.prices)),
+            books.iter().map(|b| b.broken.total()).sum::<u64>()
+        );
+    }
+    Ok(())
+}
+
 fn mean(books: &[Book], figure: impl Fn(&Book) -> f64) -> f64 {
     books.iter().map(figure).sum::<f64>() / books.len().max(1) as f64
 }
--- a/crates/lab/src/members/beats.rs
+++ b/crates/lab/src/members/beats.rs
@@ -20,22 +20,15 @@
 /// stopped for 0.4 s of each second, which delays beats and loses none.
 pub fn play(size: usize, seconds: u32, loss: f64, seed: u64) -> Beats {
     let mut chance = Chance::new(seed, 72);
-    let mut missed = vec![0u8; size * size];
     let mut beats = Beats { datagrams: (size - 1) as f64, ..Beats::default() };
-    for _ in 0..seconds {
-        for (pair, missed) in missed.iter_mut().enumerate() {
-            if pair / size == pair % size {
-                continue;
-            }
-            if chance.unit() >= loss {
-                *missed = 0;
-                continue;
-            }
-            *missed += 1;
-            if u32::from(*missed) == PATIENCE {
+    // Pairs know nothing of each other: one after the other, so that no table of all of them is needed.
+    for _ in 0..size * (size - 1) {
+        let mut missed = 0;
+        for _ in 0..seconds {
+            missed = if chance.unit() < loss { missed + 1 } else { 0 };
+            if missed == PATIENCE {
                 beats.false_verdicts += 1;
             }
-            *missed = (*missed).min(PATIENCE as u8);
         }
     }
     // Who died between two beats is missed from the last that came through on.
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -203,6 +203,8 @@
 pub struct NodesOf {
     /// Coefficient of variation of their traffic (lognormal); 0: clients come to all alike.
     pub skew: f64,
+    /// One node of each hall asks its servers for all, and the others spare questions to those that are silent.
+    pub health: bool,
 }
 
 /// What is taken off the worth kept, for each first try.
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -2,6 +2,7 @@
 
 mod clients;
 mod faults;
+mod health;
 mod nodes;
 mod registry;
 mod servers;
@@ -9,11 +10,12 @@
 use crate::agenda::{Agenda, Happening};
 use crate::book::{Book, Cause, Second};
 use crate::chance::Chance;
-use crate::hall::{at, Hall, Machine, ORIGIN};
+use crate::hall::{at, since_origin, Hall, Machine, ORIGIN};
 use crate::model::{Job, Model, Progress};
 use crate::policy::{Peer, Together};
 use crate::scenario::{seconds, Scenario, Size};
-use birchswitch_engine::{Decide, Ended, Engine};
+use birchswitch_engine::{Decide, Ended, Engine, ProbeId};
+use birchswitch_health::{Rounds, Spare};
 use finchvale::{ListKind, Outcome, RequestId, ServerEntry, ServerId, ServerState, SettingsError, Time};
 use rustc_hash::FxHashMap;
 use std::cell::RefCell;
@@ -34,6 +36,9 @@
     idle: FxHashMap<usize, Vec<Time>>,
     /// It was killed: nothing reaches it any more.
     dead: bool,
+    /// What it may spare, and whom it has asked.
+    spare: Spare,
+    asked: FxHashMap<ProbeId, usize>,
 }
 
 /// A client's order, with all its tries.
@@ -104,6 +109,8 @@
     /// The registry keeps its words to itself.
     silent: bool,
     held_back: Vec<ServerEntry>,
+    /// What the one node of each hall asks for all.
+    rounds: Vec<Rounds>,
     /// Which servers each fault has befallen.
     struck: Vec<Vec<usize>>,
     book: Book,
@@ -174,6 +181,7 @@
             lost: (0.0, 0.0),
             silent: false,
             held_back: Vec::new(),
+            rounds: Vec::new(),
             struck: vec![Vec::new(); scenario.fault.len()],
             book: Book {
                 seconds: vec![Second::default(); scenario.seconds.ceil() as usize],
@@ -193,6 +201,7 @@
         for node in world.places.clone() {
             world.tell_all(node);
         }
+        world.begin_rounds();
         world.next_arrival();
         Ok(world)
     }
@@ -226,6 +235,7 @@
                 let answer = (outcome == Outcome::Served).then_some(());
                 if !self.nodes[node].dead {
                     self.released(node, server, outcome);
+                    self.met(node, server, outcome);
                     self.nodes[node].engine.ended(self.now, attempt, Ended { outcome, report, answer });
                     self.pump(node);
                 }
@@ -234,10 +244,20 @@
             Happening::Probed { node, probe, server, outcome, report } => {
                 if !self.nodes[node].dead {
                     self.released(node, server, outcome);
+                    if self.nodes[node].asked.remove(&probe).is_some() {
+                        self.met(node, server, outcome);
+                    }
                     self.nodes[node].engine.probed(self.now, probe, outcome, report);
                     self.pump(node);
                 }
             }
+            Happening::Rounds(hall) => self.round(hall),
+            Happening::Reported(hall, name) => {
+                let at = since_origin(self.now);
+                self.rounds[usize::from(hall)].reported(at, name);
+            }
+            Happening::AskBack(node, name) => self.ask_back(node, name),
+            Happening::Silent(hall, silent) => self.told_silent(hall, &silent),
             Happening::Serve(server) => {
                 if self.hall.borrow().machines[server].wake == Some(self.now) {
                     self.with(server, |m, now, out| m.model.advance(now, out));
--- a/crates/lab/src/world/nodes.rs
+++ b/crates/lab/src/world/nodes.rs
@@ -6,6 +6,7 @@
 use crate::chance::Chance;
 use crate::scenario::{seconds, IDLE};
 use birchswitch_engine::{Answer, AttemptId, Clearance, Command, Ended, Engine};
+use birchswitch_health::Spare;
 use finchvale::{Outcome, ServerId, SettingsError};
 use rustc_hash::FxHashMap;
 use std::time::Duration;
@@ -28,6 +29,8 @@
             told: FxHashMap::default(),
             idle: FxHashMap::default(),
             dead: false,
+            spare: Spare::default(),
+            asked: FxHashMap::default(),
         });
         Ok(node)
     }
@@ -95,16 +98,27 @@
                     }
                 }
                 Command::Probe { probe, server } => {
-                    self.book.probes += 1;
                     let server = server.0 as usize;
                     let zone = self.nodes[node].zone;
+                    if self.spares(node, server) {
+                        self.nodes[node].engine.probed(self.now, probe, Outcome::Unreachable, None);
+                        continue;
+                    }
+                    self.book.probes += 1;
+                    self.book.unheard += u64::from(self.mute(zone, server));
+                    self.nodes[node].asked.insert(probe, server);
                     if self.severed(zone, server) {
                         continue;
                     }
                     let way = self.connection(node, server) + self.way(zone, server);
                     self.agenda.put(self.now + way, Happening::Probe { node, probe, server });
                 }
-                Command::Cancel(_) | Command::CancelProbe(_) | Command::Watch | Command::Log(_) => {}
+                Command::CancelProbe(probe) => {
+                    if let Some(server) = self.nodes[node].asked.remove(&probe) {
+                        self.met(node, server, Outcome::TimedOut);
+                    }
+                }
+                Command::Cancel(_) | Command::Watch | Command::Log(_) => {}
             }
         }
         let n = &mut self.nodes[node];
--- a/crates/lease-host/src/lib.rs
+++ b/crates/lease-host/src/lib.rs
@@ -7,8 +7,10 @@
 #![deny(missing_docs)]
 
 mod settings;
+mod tasks;
 
 pub use settings::{Compiled, Table};
+pub use tasks::{Singleton, Tasks, Term};
 
 use birchswitch_cluster_host::Cluster;
 use birchswitch_lease::{Action, Candidate, Held, Key, KeyError, Life, Message, Refusal, Terms, Time, Voter};
@@ -83,6 +85,8 @@
     floor: u64,
     changed: Notify,
     counts: Cell<Counts>,
+    /// This node leaves: nothing more is wanted.
+    closed: Cell<bool>,
 }
 
 /// A lease that is waited for or held. Dropped without [`Hold::release`] it is extended no more and runs out by itself: what was done
@@ -112,6 +116,7 @@
             floor,
             changed: Notify::new(),
             counts: Cell::default(),
+            closed: Cell::default(),
             terms,
         };
         if leases.terms.voters.contains(&own) {
@@ -157,6 +162,9 @@
     /// Wants one of so many slots of a name from now on.
     pub fn want(self: &Rc<Self>, name: &str, slots: u16) -> Result<Hold, String> {
         Key::new(name, 0).map_err(|e: KeyError| e.to_string())?;
+        if self.closed.get() {
+            return Err("this node is leaving".to_owned());
+        }
         if self.wishes.borrow().len() >= WISHES {
             return Err(format!("{WISHES} leases are wanted here already"));
         }
@@ -188,6 +196,12 @@
         these.map(|w| w.ending = true).count()
     }
 
+    /// The node leaves: whoever has a lease here is told to end what it does, and nothing more is wanted.
+    pub fn close(&self) {
+        self.closed.set(true);
+        self.end(None);
+    }
+
     fn release(&self, life: Life) {
         self.with(life, |wish, now, out| {
             let key = wish.key.clone();
@@ -360,6 +374,19 @@
         self.leases.release(self.life);
     }
 
+    /// For how long what was begun under it may still go on, to come to its end. None: it is not held, or its guard is over.
+    pub fn left(&self) -> Option<Duration> {
+        let (wishes, now) = (self.leases.wishes.borrow(), self.leases.now());
+        let State::Held(held) = &wishes.get(&self.life)?.state else { return None };
+        let left = held.guard.checked_sub(now).filter(|l| !l.is_zero())?;
+        Some(left * 1000 / self.leases.rate)
+    }
+
+    /// Whether whoever has it was told to end what it does.
+    pub fn ending(&self) -> bool {
+        self.leases.wishes.borrow().get(&self.life).is_none_or(|w| w.ending)
+    }
+
     /// For how long an act may still go on. None: it is not held, or its guard is over.
     pub fn guard(&self) -> Option<(Held, Duration)> {
         let State::Held(held) = self.state() else { return None };
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -20,11 +20,13 @@
 
 mod candidate;
 mod message;
+mod tasks;
 mod terms;
 mod voter;
 
 pub use candidate::{Action, Candidate, Held, Refusal};
 pub use message::{Answer, Ask, Ballot, Key, KeyError, Life, Message, Wish, Word, NAME_MOST};
+pub use tasks::{Advice, Patience, Peer, Preference, Task};
 pub use terms::{Safeguards, Terms, TermsError};
 pub use voter::Voter;
 
--- /dev/null
+++ b/crates/lease/src/tasks.rs
@@ -0,0 +1,135 @@
+//! Which of a fleet's tasks a node should want: each node by itself, so that every task has one that wants it and no node all of them.
+//!
+//! By rendezvous hashing (Thaler and Ravishankar 1998): of those alive a task prefers its own zone's, and of these the one whose name
+//! hashes highest with the task's. Only the first wants it; the next do when nobody says for a while that it runs it. This is about
+//! who should, and may be wrong on any node at any time: that one at most does is the lease's affair alone.
+
+use crate::Time;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A task of which the fleet runs one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Task {
+    /// Its name, and its lease's.
+    pub name: String,
+    /// The zone whose members it prefers.
+    pub zone: String,
+}
+
+impl Task {
+    /// How members say that they run it.
+    pub fn id(&self) -> u32 {
+        xxh3_64(self.name.as_bytes()) as u32
+    }
+}
+
+/// A member that lives, oneself among them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// The tasks that it says it runs.
+    pub runs: Vec<u32>,
+}
+
+/// How long a node waits for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// So long nobody says that a task runs until the second wants it; twice as long until the third does, and so on.
+    pub unheard: Duration,
+    /// So long another has to be preferred until a task is handed over to it; twice as long each further time.
+    pub settled: Duration,
+}
+
+impl Patience {
+    /// What suits leases that live for so long.
+    pub fn of(ttl: Duration) -> Self {
+        Patience { unheard: ttl * 2, settled: (ttl * 3).max(Duration::from_secs(10)) }
+    }
+}
+
+/// What a node should do about a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Advice {
+    /// Want its lease, or go on wanting or holding it.
+    Want,
+    /// Leave it to others.
+    Forgo,
+    /// End it and give the lease back: it is another's.
+    HandOver,
+}
+
+/// Most doublings of [`Patience::settled`].
+const DOUBLINGS: u32 = 6;
+
+/// One node's view of one task.
+#[derive(Clone, Debug)]
+pub struct Preference {
+    task: Task,
+    own: String,
+    patience: Patience,
+    /// Since when nobody has said that it runs.
+    unheard: Option<Time>,
+    /// Who is preferred, and since when.
+    first: Option<(String, Time)>,
+    /// To whom it was handed over last, and how often.
+    handed: Option<(String, u32)>,
+}
+
+impl Preference {
+    /// A task as the node of that name sees it.
+    pub fn new(task: Task, own: &str, patience: Patience) -> Self {
+        Preference { task, own: own.to_owned(), patience, unheard: None, first: None, handed: None }
+    }
+
+    /// The task.
+    pub fn task(&self) -> &Task {
+        &self.task
+    }
+
+    /// Members in the order in which they should run it.
+    fn order<'a>(&self, peers: &'a [Peer]) -> Vec<&'a Peer> {
+        let mut order: Vec<&Peer> = peers.iter().collect();
+        let hash = |p: &Peer| xxh3_64(format!("{} {}", self.task.name, p.name).as_bytes());
+        order.sort_by_key(|p| (p.zone != self.task.zone, std::cmp::Reverse(hash(p)), p.name.clone()));
+        order
+    }
+
+    /// What to do about it now, among these.
+    pub fn look(&mut self, now: Time, peers: &[Peer], holds: bool) -> Advice {
+        let order = self.order(peers);
+        let Some(rank) = order.iter().position(|p| p.name == self.own) else { return Advice::Forgo };
+        let first = &order[0].name;
+        let since = match &self.first {
+            Some((before, since)) if before == first => *since,
+            _ => now,
+        };
+        self.first = Some((first.clone(), since));
+        if rank == 0 {
+            return Advice::Want;
+        }
+        if holds {
+            let times = self.handed.as_ref().filter(|h| h.0 == *first).map_or(0, |h| h.1);
+            if now < since + self.patience.settled * (1 << times.min(DOUBLINGS)) {
+                return Advice::Want;
+            }
+            self.handed = Some((first.clone(), times + 1));
+            self.first = Some((first.clone(), now));
+            self.unheard = None;
+            return Advice::HandOver;
+        }
+        let runs = |p: &&Peer| p.name != self.own && p.runs.contains(&self.task.id());
+        if peers.iter().any(|p| runs(&p)) {
+            self.unheard = None;
+            return Advice::Forgo;
+        }
+        let unheard = *self.unheard.get_or_insert(now);
+        match now >= unheard + self.patience.unheard * rank as u32 {
+            true => Advice::Want,
+            false => Advice::Forgo,
+        }
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -4,6 +4,7 @@
 #![deny(missing_docs)]
 
 mod config;
+mod health;
 mod lease_run;
 mod leases;
 mod lists;
@@ -16,7 +17,7 @@
 use birchswitch_figures::Figures;
 use birchswitch_host::Host;
 use birchswitch_http::{Front, HttpUpstream, Limits, Phase, Room};
-use birchswitch_lease_host::Leases;
+use birchswitch_lease_host::{Leases, Tasks};
 use birchswitch_membership::{Directory, Discovery};
 use clap::{Parser, Subcommand};
 use config::{Config, RESERVED_SOCKETS};
@@ -163,6 +164,9 @@
         members::run(cluster, &host, placed);
     }
     leases.iter().for_each(|l| drop(spawn_local(l.clone().run())));
+    if let (Some(times), Some(cluster), Some(leases)) = (config.operator.health, &cluster, &leases) {
+        health::attend(times, &host, cluster, &Tasks::new(leases, cluster));
+    }
     if let Some(desk) = desk {
         listeners.iter().for_each(|l| desk.add(l.host().clone()));
         desk.serve()?;
@@ -191,7 +195,7 @@
     }
     host.log(format_args!("leaving"));
     if let Some(leases) = &leases {
-        leases.end(None);
+        leases.close();
     }
     phase.send_replace(Phase::Leaving);
     tokio::time::sleep(LEAVE).await;
--- a/node/src/operations.rs
+++ b/node/src/operations.rs
@@ -125,6 +125,7 @@
         self.figures.ejected.set(out as i64);
         self.cluster.iter().for_each(|c| self.figures.cluster(&crate::members::figures(c)));
         self.leases.iter().for_each(|l| self.figures.leases(&crate::leases::figures(l)));
+        self.host.spared().iter().for_each(|n| self.figures.spared(*n));
         self.figures.text()
     }
 
--- a/node/src/operator.rs
+++ b/node/src/operator.rs
@@ -68,6 +68,7 @@
     thrift: Vec<Settings>,
     cluster: Option<Table>,
     lease: Option<Spanned<LeaseTable>>,
+    health: Option<Spanned<crate::health::Table>>,
     log: Option<Log>,
 }
 
@@ -107,6 +108,8 @@
     pub cluster: Option<Member>,
     /// Leases for tasks of the whole fleet.
     pub lease: Option<Lease>,
+    /// One node of a zone asks silent servers for all.
+    pub health: Option<birchswitch_health::Times>,
     /// The structured log.
     pub log: Option<Log>,
 }
@@ -154,6 +157,9 @@
         }
         let lease = file.lease.map(|l| l.into_inner().compile()).transpose();
         let lease = lease.map_err(|Wrong { span, problem }| at(path, &text, span.start, problem))?;
+        let health =
+            file.health.map(|h| crate::health::compile(h, lease.is_some(), site.may_probe)).transpose();
+        let health = health.map_err(|Wrong { span, problem }| at(path, &text, span.start, problem))?;
         let mut addresses = vec![listen];
         let mut thrift = Vec::new();
         for settings in file.thrift {
@@ -165,7 +171,7 @@
             let compiled = settings.compile(site, names);
             thrift.push(compiled.map_err(|source| OperatorError::Thrift { path: own(), source })?);
         }
-        let operator = Operator { thrift, cluster, lease, log: file.log };
+        let operator = Operator { thrift, cluster, lease, health, log: file.log };
         let taken = operator.taken();
         for (what, wanted, left) in [
             ("descriptors", taken.sockets, budget.sockets / 2),
