--- a/crates/standin/src/rig/leases.rs
+++ b/crates/standin/src/rig/leases.rs
@@ -132,7 +132,7 @@
     let mut acts = acts.take();
     acts.sort_by_key(|a| a.begin);
     let mut wrong = overlaps(&acts);
-    wrong.extend(holders(&history, &lease));
+    wrong.extend(holders(&history, &lease, NAME));
     let mut gap = 0;
     for pair in acts.windows(2) {
         gap = gap.max(pair[1].begin.saturating_sub(pair[0].end));
@@ -233,12 +233,12 @@
     wrong
 }
 
-/// Processes that hold at once, by their own lines and the rig's record.
-pub fn holders(history: &History, lease: &LeasePlan) -> Vec<String> {
+/// Processes that hold leases of names that begin so at once, by their own lines and the rig's record.
+pub fn holders(history: &History, lease: &LeasePlan, name: &str) -> Vec<String> {
     // Of each grant: from when to when.
     let mut spans: Vec<(Nanos, Nanos, usize)> = Vec::new();
     let mut open: BTreeMap<(usize, usize), usize> = BTreeMap::new();
-    for line in history.lines.iter().filter(|l| l.text("lease").starts_with(NAME)) {
+    for line in history.lines.iter().filter(|l| l.text("lease").starts_with(name)) {
         let who = (line.place, line.start);
         let until = line.at + (line.number("left_ms") as f64 / lease.rate(line.place) * 1e6) as u64;
         match line.kind.as_str() {
--- a/crates/standin/src/rig/mod.rs
+++ b/crates/standin/src/rig/mod.rs
@@ -19,7 +19,7 @@
 use birchswitch_lab::chance::Chance;
 use history::{now, Did, History, Line};
 use rustix::process::{kill_process, Pid, Signal};
-use serde_json::json;
+use serde_json::{json, Value};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -53,6 +53,10 @@
     pub servers: Vec<SocketAddr>,
     /// Connections pass the rig too: only then can a script cut `servers`, `discovery` and `clients`.
     pub streams: bool,
+    /// The site's settings.
+    pub settings: Value,
+    /// Further lines of the operator's file, after all tables.
+    pub operator: String,
     /// Faults and the seed.
     pub script: Script,
 }
@@ -60,7 +64,18 @@
 impl Plan {
     /// Nodes of one zone, without leases, whose servers nobody is.
     pub fn new(binary: PathBuf, nodes: usize, script: Script) -> Self {
-        Plan { binary, nodes, spare: 0, zones: 1, lease: None, servers: Vec::new(), streams: false, script }
+        Plan {
+            binary,
+            nodes,
+            spare: 0,
+            zones: 1,
+            lease: None,
+            servers: Vec::new(),
+            streams: false,
+            settings: crate::scripted::settings(),
+            operator: String::new(),
+            script,
+        }
     }
 }
 
@@ -239,7 +254,7 @@
         let config = json!({
             "name": name, "listen": "127.0.0.1:0", "ops": "127.0.0.1:0",
             "discovery": self.around[place].discovery.to_string(), "seed": format!("{:x}", self.plan.script.seed),
-            "limits": {"sockets": 256, "memory_mb": 64}, "settings": crate::scripted::settings(),
+            "limits": {"sockets": 256, "memory_mb": 64}, "settings": self.plan.settings,
         });
         let file = ConfigFile::new(&config.to_string()).map_err(io("a configuration"))?;
         let at = |n: usize| self.wire.address(n).map_err(io("the wire"));
@@ -261,7 +276,8 @@
             }
             None => String::new(),
         };
-        let operator = ConfigFile::new(&(operator + &lease)).map_err(io("an operator's file"))?;
+        let operator =
+            ConfigFile::new(&(operator + &lease + &self.plan.operator)).map_err(io("an operator's file"))?;
         let path = operator.path().display().to_string();
         self.did(Did::Started(place, name.clone()));
         let mut child = process::start(&self.plan.binary, &file, &[("GW_OPERATOR", &path)])
@@ -348,6 +364,11 @@
         self.end(place, true).await
     }
 
+    /// Ends the process at a place by SIGTERM, and waits until it is gone.
+    pub async fn stop(&mut self, place: usize) -> Result<(), RigError> {
+        self.end(place, false).await
+    }
+
     /// What happened so far.
     pub fn history(&self) -> History {
         self.record.history.borrow().clone()
--- a/crates/standin/src/scripted/wire.rs
+++ b/crates/standin/src/scripted/wire.rs
@@ -74,7 +74,8 @@
 pub struct Wire(Closing<BufReader<TcpStream>>);
 
 impl Wire {
-    fn new(stream: TcpStream) -> Self {
+    /// A connection that was accepted elsewhere.
+    pub fn new(stream: TcpStream) -> Self {
         Wire(Closing(Some(BufReader::new(stream))))
     }
 
