--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 #![forbid(unsafe_code)]
 
+mod electorates;
 mod fleets;
 mod parallel;
 
@@ -33,6 +34,8 @@
     Table(Many),
     /// What one node that asks servers for all saves in probes: each scenario without and with it.
     Health(Many),
+    /// Leases under random faults, with all safeguards and without each.
+    Leases(electorates::Arguments),
     /// Membership among nodes: detection, false verdicts, load, values and evenness, beside two baselines.
     Members(fleets::Arguments),
 }
@@ -105,6 +108,10 @@
         Command::Account(many) => account(&many),
         Command::Table(many) => table(&many),
         Command::Health(many) => health(&many),
+        Command::Leases(leases) => match electorates::report(&leases) {
+            true => Ok(()),
+            false => Err("something broke, or what was taken away was not found".into()),
+        },
         Command::Members(members) => {
             fleets::report(&members);
             Ok(())
