--- a/crates/lease/src/candidate.rs
+++ b/crates/lease/src/candidate.rs
@@ -131,7 +131,7 @@
         };
         // Who waits is told at once: the newest ballot last, so that it finds all others gone.
         for ballot in ballots.into_iter().rev() {
-            self.send_release(key, ballot, out);
+            self.give_back(key, ballot, Wish::Release, out);
         }
     }
 
@@ -247,9 +247,9 @@
         }
     }
 
-    fn send_release(&self, key: &Key, ballot: Ballot, out: Out) {
+    fn give_back(&self, key: &Key, ballot: Ballot, wish: Wish, out: Out) {
         for voter in &self.terms.voters {
-            out.push(Action::Send(*voter, Ask { key: key.clone(), ballot, turn: 0, wish: Wish::Release }));
+            out.push(Action::Send(*voter, Ask { key: key.clone(), ballot, turn: 0, wish }));
         }
     }
 
@@ -257,7 +257,7 @@
     fn fail(&mut self, now: Time, key: &Key, lease: &mut Lease, out: Out) {
         let State::Trying(t) = &lease.state else { return };
         let (why, ballot, hope) = (t.why, t.ballot, t.hope);
-        self.send_release(key, ballot, out);
+        self.give_back(key, ballot, Wish::Yield, out);
         out.push(Action::Refused(key.clone(), why));
         // Of many that wait for one lease none asks again before it can be free, and not all then.
         let round = self.terms.round;
--- a/crates/lease/src/message.rs
+++ b/crates/lease/src/message.rs
@@ -67,8 +67,10 @@
     Prepare,
     /// Hold the lease to be mine for [`Terms::ttl`](crate::Terms::ttl) from now on. Also extends it.
     Propose,
-    /// It is over.
+    /// It is over, and no longer wanted.
     Release,
+    /// A try is over without a majority; its candidate waits on.
+    Yield,
 }
 
 /// A question to a voter.
--- a/crates/lease/src/voter.rs
+++ b/crates/lease/src/voter.rs
@@ -7,6 +7,7 @@
 use std::hash::Hash;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Most keys that a voter keeps.
 const KEYS: usize = 4096;
@@ -22,7 +23,7 @@
     reserved: Time,
     /// Whose it is, and until when.
     accepted: Option<(Ballot, Time)>,
-    /// Who waits, in the order that they asked.
+    /// Who waits, whoever asked last at the end.
     waiting: Vec<(Life, SocketAddr)>,
 }
 
@@ -95,18 +96,21 @@
                 say(from, ask.ballot, word);
             }
             Wish::Propose => say(from, ask.ballot, entry.propose(now, ask.ballot, floor, &self.terms)),
-            Wish::Release => {
-                entry.waiting.retain(|(life, _)| *life != ask.ballot.life);
+            Wish::Release | Wish::Yield => {
+                let own = entry.waiting.iter().position(|(life, _)| *life == ask.ballot.life);
+                let own = own.map(|n| entry.waiting.remove(n));
                 if entry.promised == Some(ask.ballot) {
                     entry.reserved = Time::ZERO;
                 }
                 if entry.accepted.is_some_and(|(b, _)| b == ask.ballot) {
                     entry.accepted = None;
                 }
-                if entry.live(now).is_none() && entry.reserved <= now && !entry.waiting.is_empty() {
-                    let (life, to) = entry.waiting.remove(0);
-                    say(to, Ballot { number: ask.ballot.number, life }, Word::Free);
+                if entry.live(now).is_none() && entry.reserved <= now {
+                    if let Some((life, to)) = entry.next(ask.ballot) {
+                        say(to, Ballot { number: ask.ballot.number, life }, Word::Free);
+                    }
                 }
+                entry.waiting.extend(own.filter(|_| ask.wish == Wish::Yield));
             }
         }
     }
@@ -124,10 +128,21 @@
 }
 
 impl Entry {
+    /// Who is told that a ballot was given up. Questions reach each voter in an order of its own: whoever came first there would be
+    /// another at each, and their tries would cross. So it is drawn by what all voters know.
+    fn next(&mut self, given_up: Ballot) -> Option<(Life, SocketAddr)> {
+        let drawn = |life: Life| xxh3_64(&[life.0.to_le_bytes(), given_up.number.to_le_bytes()].concat());
+        let at = (0..self.waiting.len()).min_by_key(|n| drawn(self.waiting[*n].0))?;
+        Some(self.waiting.remove(at))
+    }
+
     fn wait(&mut self, life: Life, from: SocketAddr) {
-        if self.waiting.len() < WAITING && !self.waiting.iter().any(|(l, _)| *l == life) {
-            self.waiting.push((life, from));
+        self.waiting.retain(|(l, _)| *l != life);
+        // Who asked longest ago may have gone since: who waits asks again.
+        if self.waiting.len() >= WAITING {
+            self.waiting.remove(0);
         }
+        self.waiting.push((life, from));
     }
 
     fn prepare(&mut self, now: Time, ballot: Ballot, floor: u64, terms: &Terms) -> Word {
--- a/crates/lease/tests/core.rs
+++ b/crates/lease/tests/core.rs
@@ -133,6 +133,66 @@
     );
 }
 
+/// Carries what one candidate wants to all voters, and their words to whoever they are for, until nothing more is said. Grants come back.
+fn carry(
+    voters: &mut [Voter],
+    candidates: &mut [Candidate],
+    now: Time,
+    from: usize,
+    asked: Vec<Action>,
+) -> Vec<usize> {
+    let sum = terms().sum();
+    let (mut granted, mut queue) = (Vec::new(), asked.into_iter().map(|a| (from, a)).collect::<Vec<_>>());
+    while !queue.is_empty() {
+        let (by, action) = queue.remove(0);
+        match action {
+            Action::Granted(_) => granted.push(by),
+            Action::Send(to, ask) => {
+                let mut words = Vec::new();
+                let n = (0..voters.len()).find(|n| address(1 + *n as u8) == to).expect("one of them");
+                voters[n].ask(now, address(100 + by as u8), sum, &ask, &mut words);
+                for (whose, word) in words {
+                    let whose = (0..candidates.len())
+                        .find(|n| address(100 + *n as u8) == whose)
+                        .expect("one of them");
+                    let mut out = Vec::new();
+                    candidates[whose].answer(now, to, &word, &mut out);
+                    queue.extend(out.into_iter().map(|a| (whose, a)));
+                }
+            }
+            _ => {}
+        }
+    }
+    granted
+}
+
+/// Candidates whose tries failed go on waiting: one of them has the lease as soon as it is given back, long before it would have asked again.
+#[test]
+fn who_was_refused_has_the_lease_as_soon_as_it_is_given_back() {
+    let terms = terms();
+    let mut voters: Vec<Voter> = (0..3).map(|_| voter(&terms)).collect();
+    let mut candidates: Vec<Candidate> =
+        (0..4).map(|n| Candidate::new(terms.clone(), Life(n + 1), 0)).collect();
+    let mut wants = |n: usize, candidates: &mut Vec<Candidate>| {
+        let mut out = Vec::new();
+        candidates[n].want(NOW, key("a"), &mut out);
+        carry(&mut voters, candidates, NOW, n, out)
+    };
+    assert_eq!(wants(0, &mut candidates), [0]);
+    (1..4).for_each(|n| assert!(wants(n, &mut candidates).is_empty()));
+    let mut out = Vec::new();
+    candidates[0].release(NOW, &key("a"), &mut out);
+    assert!(carry(&mut voters, &mut candidates, NOW, 0, out).is_empty(), "each looks a moment later");
+    let soon = NOW + terms.round / 10;
+    let mut granted = Vec::new();
+    for n in 1..4 {
+        let mut out = Vec::new();
+        candidates[n].wake(soon, &mut out);
+        granted.extend(carry(&mut voters, &mut candidates, soon, n, out));
+    }
+    assert_eq!(granted.len(), 1, "one of those that wait");
+}
+
 /// Names beyond what is kept push out those that nobody has, and never one that somebody holds; the floor rises for what was pushed out.
 #[test]
 fn memory_is_bounded_and_grants_stay() {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -9,6 +9,7 @@
 use birchswitch_standin::process::block_on;
 use birchswitch_standin::rig::cases::{self, CASES};
 use birchswitch_standin::rig::leases;
+use birchswitch_standin::rig::takeovers::{random_script, takeovers};
 use birchswitch_standin::script::{Deed, Script};
 use birchswitch_thrift::Protocol;
 use clap::{Args, Parser, Subcommand};
@@ -31,6 +32,8 @@
     Demo(Demo),
     /// Many processes with a wire in user space between them: the hard cases of membership, and a table of what came of them
     Rig(RigArguments),
+    /// Leases among processes in figures: a next holder after the last one's end, and random faults for as long as wanted
+    Leases(LeaseArguments),
     /// What a request costs a node over HTTP and Thrift: CPU time, latency, memory, and their ratios
     Cost(Cost),
 }
@@ -59,6 +62,25 @@
     node: Option<PathBuf>,
 }
 
+#[derive(Args)]
+struct LeaseArguments {
+    /// Holders' processes to kill, one after the other
+    #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u16).range(0..=1000))]
+    kills: u16,
+    /// Holders' processes to end by SIGTERM
+    #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u16).range(0..=1000))]
+    ends: u16,
+    /// Minutes of random faults
+    #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u16).range(0..=1000))]
+    minutes: u16,
+    /// The seed
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// A node's program to run in place of this workspace's own
+    #[arg(long)]
+    node: Option<PathBuf>,
+}
+
 #[derive(Args)]
 struct Cost {
     /// Rounds; a figure is the median of them
@@ -121,6 +143,7 @@
     let done = match Arguments::parse().command {
         Play::Demo(demo) => run(demo).map(|book| book.faults().is_empty()),
         Play::Rig(arguments) => rig(&arguments),
+        Play::Leases(arguments) => of_leases(&arguments),
         Play::Cost(cost) => measure(cost).map(|()| true),
     };
     match done {
@@ -262,6 +285,53 @@
     Ok(sound)
 }
 
+fn of_leases(arguments: &LeaseArguments) -> Result<bool, Box<dyn Error>> {
+    let binary = match &arguments.node {
+        Some(path) => path.clone(),
+        None => build_node()?,
+    };
+    let (seed, mut sound) = (arguments.seed, true);
+    println!("seven nodes, five of which vote; leases live for 2 s; seed {seed}");
+    for (what, times, killed) in [("killed", arguments.kills, true), ("ended", arguments.ends, false)] {
+        if times == 0 {
+            continue;
+        }
+        let mut found = block_on(takeovers(binary.clone(), times.into(), killed, seed))??;
+        found.after.sort_by(f64::total_cmp);
+        let at = |part: f64| found.after[((found.after.len() - 1) as f64 * part).round() as usize];
+        println!(
+            "{times} holders {what}: the next after {:.2} s (median), {:.2} s (p99), {:.2} s (worst); {:.2} grants for each",
+            at(0.5),
+            at(0.99),
+            at(1.0),
+            (found.grants - 1) as f64 / f64::from(times)
+        );
+        sound &= found.wrong.is_empty();
+        found.wrong.iter().for_each(|w| println!("    WRONG: {w}"));
+    }
+    if arguments.minutes > 0 {
+        let script = random_script(u64::from(arguments.minutes) * 60, seed);
+        let case = leases::Case { name: "random", script: &script, ..leases::SOUND };
+        let outcome = block_on(leases::play(&case, binary, seed))??;
+        println!("{} minutes of random faults", arguments.minutes);
+        for kind in ["die", "start", "pause", "cut", "split", "lose", "delay", "double"] {
+            let lines = script.lines().filter(|l| l.split(' ').any(|w| w == kind)).count();
+            println!("    {kind:<8}{lines:>6}");
+        }
+        println!(
+            "    {} acts, {} grants, {} lost, longest time without an act {:.1} s, {} overlaps or tokens that fell",
+            outcome.acts.len(),
+            outcome.grants,
+            outcome.lost,
+            outcome.gap.as_secs_f64(),
+            outcome.wrong.len()
+        );
+        sound &= outcome.wrong.is_empty();
+        outcome.wrong.iter().for_each(|w| println!("    WRONG: {w}"));
+    }
+    Ok(sound)
+}
+
 fn measure(arguments: Cost) -> Result<(), Box<dyn Error>> {
     let binary = match arguments.node {
         Some(path) => path,
--- a/crates/standin/src/rig/leases.rs
+++ b/crates/standin/src/rig/leases.rs
@@ -35,13 +35,13 @@
 }
 
 /// A run.
-pub struct Case {
+pub struct Case<'a> {
     /// How it is called.
-    pub name: &'static str,
+    pub name: &'a str,
     /// Nodes, of which the first so many vote.
     pub nodes: [usize; 2],
     /// What goes wrong.
-    pub script: &'static str,
+    pub script: &'a str,
     /// Rates of nodes' lease clocks, in turn.
     pub rates: &'static [f64],
     /// Safeguards to go without.
@@ -53,7 +53,7 @@
 }
 
 /// Seven contenders that take turns, five of their nodes vote, nothing goes wrong.
-pub const SOUND: Case = Case {
+pub const SOUND: Case<'static> = Case {
     name: "",
     nodes: [7, 5],
     script: "",
@@ -64,7 +64,7 @@
 };
 
 /// What must hold: no two act at once, whatever the script does. Leases live for 2 s.
-pub const CASES: &[Case] = &[
+pub const CASES: &[Case<'static>] = &[
     Case { name: "lease-calm", script: "8s wire lose 0", ..SOUND },
     Case { name: "lease-pauses", script: "1s n0 pause 6s\n3s n5 pause 6s\n5s n1-n2 pause 3s\n9s n6 pause 6s\n12s nodes pause 3s\n18s wire lose 0", ..SOUND },
     Case {
@@ -103,7 +103,7 @@
 }
 
 /// Plays a case.
-pub async fn play(case: &Case, binary: PathBuf, seed: u64) -> Result<Outcome, super::cases::CaseError> {
+pub async fn play(case: &Case<'_>, binary: PathBuf, seed: u64) -> Result<Outcome, super::cases::CaseError> {
     let [nodes, voters] = case.nodes;
     let mut script = Script::parse(case.script, 0, nodes)?;
     script.seed = seed;
@@ -115,8 +115,9 @@
     let acts: Rc<RefCell<Vec<Act>>> = Rc::default();
     let mut contenders = JoinSet::new();
     for place in (0..nodes).filter(|n| case.contend.is_empty() || case.contend.contains(n)) {
-        let (acts, operators, keeps) = (acts.clone(), rig.desks(), case.keeps);
-        contenders.spawn_local(async move { contend(place, &operators, keeps, &acts).await });
+        let (acts, operators) = (acts.clone(), rig.desks());
+        let habit = Habit { keeps: case.keeps, polite: false };
+        contenders.spawn_local(async move { contend(place, &operators, habit, &acts).await });
     }
     let granted = |h: &History| h.lines.iter().filter(|l| l.kind == "granted").count();
     let first = |h: &History| granted(h) > 0;
@@ -142,18 +143,27 @@
     Ok(Outcome { wrong, acts, grants, lost, gap, history })
 }
 
+/// How a contender uses what it is granted.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Habit {
+    /// For how long it acts that is not told otherwise.
+    pub keeps: Duration,
+    /// Told that it is over it ends at once and gives the lease back; else it uses all the time that it was allowed.
+    pub polite: bool,
+}
+
 /// Asks for the lease at one node, acts for as long as it may, gives it back after a while, and begins again.
-async fn contend(place: usize, operators: &super::Desks, keeps: Duration, acts: &RefCell<Vec<Act>>) {
+pub(super) async fn contend(place: usize, operators: &super::Desks, habit: Habit, acts: &RefCell<Vec<Act>>) {
     loop {
         let address = operators.borrow()[place];
         if let Some(address) = address {
-            session(place, address, keeps, acts).await;
+            session(place, address, habit, acts).await;
         }
         sleep(POLL).await;
     }
 }
 
-async fn session(place: usize, address: SocketAddr, keeps: Duration, acts: &RefCell<Vec<Act>>) {
+async fn session(place: usize, address: SocketAddr, habit: Habit, acts: &RefCell<Vec<Act>>) {
     let Ok(Ok(stream)) = timeout(PATIENCE, TcpStream::connect(address)).await else { return };
     let mut stream = BufReader::new(stream);
     let mut question = format!("LEASE {NAME} 1\n");
@@ -178,6 +188,11 @@
             _ => None,
         };
         let Some((token, left)) = told else {
+            if let (Some((n, guard)), ["LOST"], true) = (act, &words[..], habit.polite) {
+                acts.borrow_mut()[n].end = now().min(guard);
+                let _ = timeout(PATIENCE, stream.write_all(b"RELEASE\n")).await;
+                return;
+            }
             // Nothing more is heard: all the time that was allowed is used.
             if let Some((n, guard)) = act {
                 sleep(Duration::from_nanos(guard.saturating_sub(now()))).await;
@@ -202,7 +217,7 @@
         }
         if let Some((n, _)) = act {
             let begin = acts.borrow()[n].begin;
-            if at > begin + keeps.as_nanos() as u64 {
+            if at > begin + habit.keeps.as_nanos() as u64 {
                 // The act is over before the lease is given back.
                 acts.borrow_mut()[n].end = now();
                 let _ = timeout(PATIENCE, stream.write_all(b"RELEASE\n")).await;
--- a/crates/standin/src/rig/mod.rs
+++ b/crates/standin/src/rig/mod.rs
@@ -9,6 +9,7 @@
 pub mod history;
 pub mod leases;
 pub mod streams;
+pub mod takeovers;
 pub mod wire;
 
 use crate::fleet::LISTENING;
@@ -520,6 +521,8 @@
         match fault {
             NodesFault::Die => self.end(n, true).await?,
             NodesFault::End => self.end(n, false).await?,
+            // One that runs has been started already.
+            NodesFault::Start if self.processes[n].is_some() => {}
             NodesFault::Start => self.spawn(n, n).await?,
             NodesFault::Twin => {
                 let spare = (self.plan.nodes..self.processes.len()).find(|s| self.processes[*s].is_none());
--- /dev/null
+++ b/crates/standin/src/rig/takeovers.rs
@@ -0,0 +1,142 @@
+//! Leases among processes in figures: how soon another holds after a holder's end, and scripts of random faults for as long as wanted.
+
+use super::history::{now, History};
+use super::leases::{contend, holders, overlaps, Act, Habit};
+use super::{LeasePlan, Plan, Rig, RigError};
+use crate::script::Script;
+use birchswitch_lab::chance::Chance;
+use std::cell::RefCell;
+use std::fmt::Write;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// Nodes, and how many of them vote.
+const NODES: [usize; 2] = [7, 5];
+/// For a next holder, or the first.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// What came of holders' ends.
+#[derive(Debug, Default)]
+pub struct Takeovers {
+    /// Seconds from each end, as the signal was sent, until another process was granted the lease.
+    pub after: Vec<f64>,
+    /// Grants in all, the first one included.
+    pub grants: usize,
+    /// What did not hold.
+    pub wrong: Vec<String>,
+}
+
+fn granted(h: &History) -> usize {
+    h.lines.iter().filter(|l| l.kind == "granted").count()
+}
+
+/// Ends the holder's process so many times, killed or by SIGTERM, with contenders at all nodes that keep the lease for good.
+pub async fn takeovers(binary: PathBuf, ends: usize, killed: bool, seed: u64) -> Result<Takeovers, RigError> {
+    let [nodes, voters] = NODES;
+    let lease = LeasePlan::new(voters);
+    let script = Script { seed, ..Script::default() };
+    let plan = Plan { lease: Some(lease.clone()), ..Plan::new(binary, nodes, script) };
+    let mut rig = Rig::start(plan).await?;
+    rig.agreed(PATIENCE).await?;
+    let acts: Rc<RefCell<Vec<Act>>> = Rc::default();
+    let mut contenders = JoinSet::new();
+    let habit = Habit { keeps: Duration::from_secs(86_400), polite: true };
+    for place in 0..nodes {
+        let (acts, desks) = (acts.clone(), rig.desks());
+        contenders.spawn_local(async move { contend(place, &desks, habit, &acts).await });
+    }
+    let mut found = Takeovers::default();
+    for _ in 0..ends {
+        let before = granted(&rig.history());
+        // Whoever was granted it last holds it, once voters that started have abstained and nobody changes.
+        rig.until("a holder", PATIENCE, |h| granted(h) > 0, |_| "none".to_owned()).await?;
+        let settled = Duration::from_secs_f64(3.5);
+        sleep(settled).await;
+        let history = rig.history();
+        let Some(holder) = history.lines.iter().rev().find(|l| l.kind == "granted").map(|l| l.place) else {
+            continue;
+        };
+        let grants = granted(&history);
+        let ended = now();
+        let gone = async {
+            match killed {
+                true => rig.kill(holder).await,
+                false => rig.stop(holder).await,
+            }
+        };
+        gone.await?;
+        let next = |h: &History| h.lines.iter().filter(|l| l.kind == "granted").nth(grants).map(|l| l.at);
+        rig.until("a next holder", PATIENCE, |h| next(h).is_some(), |_| format!("{before} grants")).await?;
+        let at = next(&rig.history()).unwrap_or(ended);
+        found.after.push(at.saturating_sub(ended) as f64 / 1e9);
+        rig.spawn(holder, holder).await?;
+    }
+    contenders.shutdown().await;
+    let history = rig.history();
+    rig.close().await?;
+    found.grants = granted(&history);
+    let mut acts = acts.take();
+    acts.sort_by_key(|a| a.begin);
+    found.wrong = overlaps(&acts);
+    found.wrong.extend(holders(&history, &lease, "task"));
+    Ok(found)
+}
+
+/// A script of random faults for so long: deaths, pauses, cuts, loss, delay and doubling, one or two at a time, each healed before the
+/// next but one.
+pub fn random_script(seconds: u64, seed: u64) -> String {
+    let [nodes, voters] = NODES;
+    let mut chance = Chance::new(seed, 91);
+    let mut faults: Vec<(f64, String)> = Vec::new();
+    let mut at = 1.0;
+    while at < seconds as f64 {
+        let (n, m, lasts) = (chance.below(nodes), chance.below(nodes), 0.5 + 4.0 * chance.unit());
+        let mut put = |after: f64, what: String| faults.push((at + after, what));
+        match chance.below(12) {
+            0 | 1 => {
+                put(0.0, format!("n{n} die"));
+                put(0.1 + lasts / 4.0, format!("n{n} start"));
+            }
+            2 | 3 => put(0.0, format!("n{n} pause {}ms", (lasts * 1500.0) as u64)),
+            4 => put(0.0, format!("nodes pause {}ms", (lasts * 800.0) as u64)),
+            5 => {
+                put(0.0, format!("n0-n{} die", voters - 1));
+                put(0.2, format!("n0-n{} start", voters - 1));
+            }
+            6 | 7 => {
+                let to = if n == m { "n0-n4".to_owned() } else { format!("n{m}") };
+                put(0.0, format!("wire cut n{n} {to}"));
+                put(lasts, "wire heal".to_owned());
+            }
+            8 => {
+                let first = chance.below(nodes - 1);
+                put(0.0, format!("wire split n0-n{first} n{}-n{}", first + 1, nodes - 1));
+                put(lasts, "wire heal".to_owned());
+            }
+            9 => {
+                put(0.0, "wire lose 0.3".to_owned());
+                put(lasts, "wire lose 0".to_owned());
+            }
+            10 => {
+                put(0.0, "wire delay 3s".to_owned());
+                put(lasts, "wire delay 0s".to_owned());
+            }
+            _ => {
+                put(0.0, "wire double 0.3".to_owned());
+                put(lasts, "wire double 0".to_owned());
+            }
+        }
+        at += 2.0 + 3.0 * chance.unit();
+    }
+    faults.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut text = String::new();
+    // Writing to a string never fails.
+    for (at, what) in faults {
+        let _ = writeln!(text, "{}ms {what}", (at * 1e3) as u64);
+    }
+    let _ = writeln!(text, "{}ms wire lose 0", seconds * 1000 + 6_000);
+    text
+}
