Rig: a receiver that refuses lower tokens, and a holder stopped between its look and its act

The proof lacked the moment that no promptness helps against: a command that stops itself right before its act, its client stopped too, its node killed, another holding when it goes on.

--- a/crates/standin/src/rig/mod.rs
+++ b/crates/standin/src/rig/mod.rs
@@ -8,6 +8,7 @@
 pub mod checker;
 pub mod history;
 pub mod leases;
+pub mod receiver;
 pub mod streams;
 pub mod takeovers;
 pub mod wire;
--- /dev/null
+++ b/crates/standin/src/rig/receiver.rs
@@ -0,0 +1,105 @@
+//! What holders of a lease act upon: it records each act's begin and end with its token, and refuses tokens lower than the highest it saw.
+
+use super::history::{now, Nanos};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+
+/// An act that was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Taken {
+    /// With which token.
+    pub token: u64,
+    /// When.
+    pub begin: Nanos,
+    /// When its connection ended; not yet, where there is none.
+    pub end: Option<Nanos>,
+}
+
+/// See the module's words.
+pub struct Receiver {
+    address: SocketAddr,
+    fenced: bool,
+    highest: Cell<u64>,
+    taken: RefCell<Vec<Taken>>,
+    refused: RefCell<Vec<u64>>,
+}
+
+impl Receiver {
+    /// Takes acts on loopback: a line `BEGIN token` is answered by `GO` or `LOWER`, and the connection's end is the act's. One that is
+    /// not fenced takes any token.
+    pub async fn start(fenced: bool) -> io::Result<Rc<Self>> {
+        let listener = TcpListener::bind(crate::scripted::own_address()).await?;
+        let receiver = Rc::new(Receiver {
+            address: listener.local_addr()?,
+            fenced,
+            highest: Cell::default(),
+            taken: RefCell::default(),
+            refused: RefCell::default(),
+        });
+        let acts = Rc::downgrade(&receiver);
+        spawn_local(async move {
+            while let (Ok((stream, _)), Some(receiver)) = (listener.accept().await, acts.upgrade()) {
+                spawn_local(async move { receiver.act(stream).await });
+            }
+        });
+        Ok(receiver)
+    }
+
+    async fn act(&self, stream: TcpStream) -> io::Result<()> {
+        let mut stream = BufReader::new(stream);
+        let mut line = String::new();
+        stream.read_line(&mut line).await?;
+        let Some(token) = line.trim().strip_prefix("BEGIN ").and_then(|t| t.parse().ok()) else {
+            return Ok(());
+        };
+        if self.fenced && token < self.highest.get() {
+            self.refused.borrow_mut().push(token);
+            return stream.write_all(b"LOWER\n").await;
+        }
+        self.highest.set(self.highest.get().max(token));
+        let n = self.taken.borrow().len();
+        self.taken.borrow_mut().push(Taken { token, begin: now(), end: None });
+        stream.write_all(b"GO\n").await?;
+        let mut rest = Vec::new();
+        // A process that is killed resets its connection.
+        let _ = stream.read_to_end(&mut rest).await;
+        self.taken.borrow_mut()[n].end = Some(now());
+        Ok(())
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Acts that it took, by their begins.
+    pub fn taken(&self) -> Vec<Taken> {
+        self.taken.borrow().clone()
+    }
+
+    /// Tokens that it refused.
+    pub fn refused(&self) -> Vec<u64> {
+        self.refused.borrow().clone()
+    }
+
+    /// Acts of different tokens that overlap, and tokens that fell.
+    pub fn wrong(&self) -> Vec<String> {
+        let (taken, mut wrong) = (self.taken.borrow(), Vec::new());
+        for (n, act) in taken.iter().enumerate() {
+            for earlier in taken[..n].iter().filter(|e| e.token != act.token) {
+                if earlier.end.is_none_or(|end| end > act.begin) {
+                    wrong.push(format!("{} began while {} went on", act.token, earlier.token));
+                }
+                if act.token < earlier.token {
+                    wrong.push(format!("{} came after {}", act.token, earlier.token));
+                }
+            }
+        }
+        wrong
+    }
+}
--- a/node/tests/leases.rs
+++ b/node/tests/leases.rs
@@ -2,12 +2,14 @@
 
 use birchswitch_standin::process::{block_on, node_binary, runs, signal};
 use birchswitch_standin::rig::leases::{play, Case, Outcome, CASES, SOUND};
+use birchswitch_standin::rig::receiver::Receiver;
 use birchswitch_standin::rig::{LeasePlan, Plan, Rig};
 use birchswitch_standin::script::Script;
 use birchswitch_standin::scripted::{call, within};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::process::Stdio;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
@@ -249,6 +251,48 @@
     });
 }
 
+/// A command tells its number, stops itself between its last look at the lease and its act, and acts once it is woken. Its client stands
+/// still too, so that nobody ends it, and its node is killed: another holds and acts when it goes on. What the receiver made of that.
+async fn acts_late(fenced: bool) -> Rc<Receiver> {
+    let (mut rig, desks) = electorate().await;
+    let receiver = Receiver::start(fenced).await.expect("a receiver");
+    let (host, port) = (receiver.address().ip(), receiver.address().port());
+    let act = format!(
+        "exec 3<>/dev/tcp/{host}/{port}; echo BEGIN $BIRCHSWITCH_LEASE_TOKEN >&3; read -r word <&3; echo $word; sleep 30"
+    );
+    let mut late = lease_run(desks[0], "a", &[], &format!("exec bash -c 'echo $$; kill -STOP $$; {act}'"));
+    let stopped: u32 = line(&mut late).await.parse().expect("a process's number");
+    signal(&late, "STOP").await.expect("it runs");
+    rig.kill(0).await.expect("killed");
+    let mut next = lease_run(desks[1], "a", &[], &format!("exec bash -c '{act}'"));
+    assert_eq!(line(&mut next).await, "GO");
+    let resumed = Command::new("kill").args(["-CONT", &stopped.to_string()]).status().await;
+    assert!(resumed.expect("kill").success());
+    within("the late act", async {
+        while receiver.refused().len() + receiver.taken().len() < 2 {
+            sleep(Duration::from_millis(10)).await;
+        }
+    })
+    .await;
+    // The client wakes, finds its time over and kills what is left.
+    signal(&late, "CONT").await.expect("it runs");
+    assert_eq!(ended(late).await.0, Some(76));
+    assert!(!runs(stopped));
+    receiver
+}
+
+/// What a receiver that checks tokens is there for: no promptness of the holder's helps against a stop at the wrong moment.
+#[test]
+fn a_holder_stopped_between_its_look_and_its_act_is_refused_by_its_token() {
+    on_a_set(async {
+        let fenced = acts_late(true).await;
+        assert_eq!((fenced.wrong(), fenced.taken().len(), fenced.refused().len()), (Vec::new(), 1, 1));
+        assert!(fenced.refused()[0] < fenced.taken()[0].token);
+        let open = acts_late(false).await;
+        assert!(!open.wrong().is_empty(), "without the check two act: {:?}", open.taken());
+    });
+}
+
 /// The client of a lease is killed itself: its command goes on, so that the lease must not be given back before its time.
 #[test]
 fn a_lease_whose_client_is_killed_runs_out() {
