Leases: a refused wish for one slot no longer asks again at once, so that duels end

Cause: Leases::refused sent a wish on to the next slot after any refusal but Busy (hops was set to 0, which is below one slot), and the next slot of one is the same: it was forgotten and wanted anew, without the back-off. Two candidates that split the voters then failed each other every 0.2 s. Seen on the rig, where 1 kill in 50 had no next holder for 10 to 30 s; ruled out by traces of every voter's words: lost messages, stale promises, extensions. A failed try also no longer has voters tell others, whose tries would cross.

--- a/crates/lease-host/src/lib.rs
+++ b/crates/lease-host/src/lib.rs
@@ -13,7 +13,9 @@
 pub use tasks::{Singleton, Tasks, Term};
 
 use birchswitch_cluster_host::Cluster;
-use birchswitch_lease::{Action, Candidate, Held, Key, KeyError, Life, Message, Refusal, Terms, Time, Voter};
+use birchswitch_lease::{
+    Action, Candidate, Held, Key, KeyError, Life, Message, Refusal, Terms, Time, Turns, Voter,
+};
 use rustix::time::{clock_gettime, ClockId};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -46,10 +48,8 @@
 struct Wish {
     candidate: Candidate,
     name: String,
-    slots: u16,
+    turns: Turns,
     key: Key,
-    /// Slots found busy in a row.
-    hops: u16,
     state: State,
     /// Whoever has it is to end what it does and release it.
     ending: bool,
@@ -177,9 +177,8 @@
         let wish = Wish {
             candidate,
             name: name.to_owned(),
-            slots,
+            turns: Turns::new(slots),
             key: key.clone(),
-            hops: 0,
             state: State::Waiting(None),
             ending: false,
         };
@@ -264,15 +263,12 @@
         let mut out = Vec::new();
         if let Some(wish) = self.wishes.borrow_mut().get_mut(&life) {
             wish.state = State::Waiting(Some(why));
-            wish.hops = if why == Refusal::Busy { wish.hops + 1 } else { 0 };
-            let next = Key::new(&wish.name, (key.slot() + 1) % wish.slots.max(1));
-            if let (true, Ok(next)) = (wish.hops < wish.slots, next) {
+            let next = wish.turns.refused(key.slot(), why).map(|slot| Key::new(&wish.name, slot));
+            if let Some(Ok(next)) = next {
                 let now = self.now();
                 wish.candidate.release(now, key, &mut out);
                 wish.key = next.clone();
                 wish.candidate.want(now, next, &mut out);
-            } else {
-                wish.hops = 0;
             }
         }
         self.apply(life, out);
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -22,12 +22,14 @@
 mod message;
 mod tasks;
 mod terms;
+mod turns;
 mod voter;
 
 pub use candidate::{Action, Candidate, Held, Refusal};
 pub use message::{Answer, Ask, Ballot, Key, KeyError, Life, Message, Wish, Word, NAME_MOST};
 pub use tasks::{Advice, Patience, Peer, Preference, Task};
 pub use terms::{Safeguards, Terms, TermsError};
+pub use turns::Turns;
 pub use voter::Voter;
 
 /// A point on a monotonic clock of the caller's, from any origin.
--- a/crates/lease/src/voter.rs
+++ b/crates/lease/src/voter.rs
@@ -97,20 +97,21 @@
             }
             Wish::Propose => say(from, ask.ballot, entry.propose(now, ask.ballot, floor, &self.terms)),
             Wish::Release | Wish::Yield => {
-                let own = entry.waiting.iter().position(|(life, _)| *life == ask.ballot.life);
-                let own = own.map(|n| entry.waiting.remove(n));
                 if entry.promised == Some(ask.ballot) {
                     entry.reserved = Time::ZERO;
                 }
-                if entry.accepted.is_some_and(|(b, _)| b == ask.ballot) {
+                let had = entry.live(now).is_some_and(|(b, _)| b == ask.ballot);
+                if had {
                     entry.accepted = None;
                 }
-                if entry.live(now).is_none() && entry.reserved <= now {
-                    if let Some((life, to)) = entry.next(ask.ballot) {
+                if ask.wish == Wish::Release {
+                    entry.waiting.retain(|(life, _)| *life != ask.ballot.life);
+                    // Only what was held comes free. Were others told of every try that failed, each would try at once, and
+                    // they would fail one another for as long as there are many.
+                    if let Some((life, to)) = entry.next(ask.ballot).filter(|_| had) {
                         say(to, Ballot { number: ask.ballot.number, life }, Word::Free);
                     }
                 }
-                entry.waiting.extend(own.filter(|_| ask.wish == Wish::Yield));
             }
         }
     }
@@ -130,10 +131,9 @@
 impl Entry {
     /// Who is told that a ballot was given up. Questions reach each voter in an order of its own: whoever came first there would be
     /// another at each, and their tries would cross. So it is drawn by what all voters know.
-    fn next(&mut self, given_up: Ballot) -> Option<(Life, SocketAddr)> {
+    fn next(&self, given_up: Ballot) -> Option<(Life, SocketAddr)> {
         let drawn = |life: Life| xxh3_64(&[life.0.to_le_bytes(), given_up.number.to_le_bytes()].concat());
-        let at = (0..self.waiting.len()).min_by_key(|n| drawn(self.waiting[*n].0))?;
-        Some(self.waiting.remove(at))
+        self.waiting.iter().copied().min_by_key(|(life, _)| drawn(*life))
     }
 
     fn wait(&mut self, life: Life, from: SocketAddr) {
--- a/crates/standin/src/rig/leases.rs
+++ b/crates/standin/src/rig/leases.rs
@@ -78,6 +78,20 @@
                  12s wire cut n0-n4 n6\n15s wire heal\n15s wire split n0-n1 n2-n6\n18s wire heal\n20s wire lose 0",
         ..SOUND
     },
+    // Grants are on the wire when all voters die.
+    Case {
+        name: "lease-late-grants",
+        script: "0s wire delay 60ms\n2s n0-n4 die\n2s n0-n4 start\n6s n0-n4 die\n6s n0-n4 start\n11s wire delay 0s\n12s wire lose 0",
+        ..SOUND
+    },
+    // Voters hear every candidate and none of the others.
+    Case {
+        name: "lease-deaf-voters",
+        nodes: [5, 3],
+        script: "1s wire split n0 n1-n2\n1s wire split n1 n2\n9s wire heal",
+        contend: &[3, 4],
+        ..SOUND
+    },
     Case {
         name: "lease-clocks",
         script: "2s wire cut n5-n6 n0-n4\n5s wire heal\n7s wire cut n0-n4 n0-n6\n10s wire heal\n12s wire cut n0-n6 n0-n4\n15s wire heal\n16s wire lose 0",
