--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,7 +8,7 @@
 
 use birchswitch_lab::book::{Book, Cause};
 use birchswitch_lab::policy::Peer;
-use birchswitch_lab::scenario::{PricesOf, Scenario, ScenarioError, Size, STANDARD};
+use birchswitch_lab::scenario::{PricesOf, Scenario, ScenarioError, Size, FURTHER, STANDARD};
 use birchswitch_lab::world;
 use clap::{Args, Parser, Subcommand};
 use std::error::Error;
@@ -91,7 +91,7 @@
 }
 
 fn read(name: &str) -> Result<Scenario, ScenarioError> {
-    if STANDARD.iter().any(|s| s.0 == name) {
+    if STANDARD.iter().chain(FURTHER).any(|s| s.0 == name) {
         return Scenario::standard(name);
     }
     let text = std::fs::read_to_string(name).map_err(|_| ScenarioError::Unknown(name.into()))?;
@@ -204,7 +204,7 @@
 /// Plays each scenario as it is, and once more with one node of each hall that asks for all.
 fn health(many: &Many) -> Result<(), Box<dyn Error>> {
     let names: Vec<String> = match many.scenarios.is_empty() {
-        true => ["death", "half-hall", "frozen", "fleet-calm", "fleet-zone"].map(str::to_owned).to_vec(),
+        true => ["cut-minute", "gone-minutes", "frozen", "death", "fleet-zone"].map(str::to_owned).to_vec(),
         false => many.scenarios.clone(),
     };
     println!("{} nodes, {} servers, {} seeds\n", many.size.nodes, many.size.servers, many.seeds);
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -54,6 +54,12 @@
     ("fleet-join", include_str!("../scenarios/fleet-join.toml")),
 ];
 
+/// Further scenarios by name, for measurements of their own: in no table of all.
+pub const FURTHER: &[(&str, &str)] = &[
+    ("cut-minute", include_str!("../scenarios/cut-minute.toml")),
+    ("gone-minutes", include_str!("../scenarios/gone-minutes.toml")),
+];
+
 /// Why a scenario can't be played.
 #[derive(Debug, thiserror::Error)]
 pub enum ScenarioError {
@@ -70,7 +76,7 @@
         /// What it may hold.
         wanted: &'static str,
     },
-    /// Not one of [`STANDARD`], and no file either.
+    /// Not one of [`STANDARD`] and [`FURTHER`], and no file either.
     #[error("scenario {0:?}: no such file, and not one of the standard ones (`birchswitch-lab list`)")]
     Unknown(String),
 }
@@ -425,9 +431,9 @@
         Ok(scenario)
     }
 
-    /// One of [`STANDARD`] by its name.
+    /// One of [`STANDARD`] and [`FURTHER`] by its name.
     pub fn standard(name: &str) -> Result<Self, ScenarioError> {
-        let found = STANDARD.iter().find(|s| s.0 == name);
+        let found = STANDARD.iter().chain(FURTHER).find(|s| s.0 == name);
         Scenario::parse(found.ok_or_else(|| ScenarioError::Unknown(name.into()))?.1)
     }
 
@@ -621,7 +627,7 @@
 
     #[test]
     fn all_standard_scenarios_are_sound() {
-        for (name, text) in STANDARD {
+        for (name, text) in STANDARD.iter().chain(FURTHER) {
             let scenario = Scenario::parse(text).unwrap_or_else(|e| panic!("{name}: {e}"));
             assert!(!scenario.what.is_empty(), "{name} says what it is");
             scenario.settings(Size::TODAY, 0).check().unwrap_or_else(|e| panic!("{name}: {e}"));
--- a/crates/standin/src/rig/takeovers.rs
+++ b/crates/standin/src/rig/takeovers.rs
@@ -80,9 +80,13 @@
         let next = |h: &History| h.lines.iter().filter(|l| l.kind == "granted").nth(grants).map(|l| l.at);
         let came =
             rig.until("a next holder", PATIENCE, |h| next(h).is_some(), |h| words(h, holder, ended)).await;
-        if let Err(error) = came {
-            for desk in rig.desks().borrow().iter().flatten() {
-                eprintln!("{}", crate::scripted::call(*desk, "LEASES").await);
+        if let Err(mut error) = came {
+            let desks = rig.desks().borrow().clone();
+            for desk in desks.into_iter().flatten() {
+                let held = crate::scripted::call(desk, "LEASES").await;
+                if let RigError::Late { last, .. } = &mut error {
+                    let _ = write!(last, "\n{held}");
+                }
             }
             return Err(error);
         }
