--- a/node/src/health.rs
+++ b/node/src/health.rs
@@ -199,3 +199,35 @@
         Box::pin(self.0.clone().ask(term))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[derive(Deserialize)]
+    struct File {
+        health: Spanned<Table>,
+    }
+
+    fn compiled(text: &str, leases: bool, may_probe: bool) -> Result<Times, String> {
+        let file: File = toml::from_str(text).expect("its form is right");
+        compile(file.health, leases, may_probe)
+            .map_err(|w| format!("{:?}: {}", text.get(w.span).unwrap_or_default(), w.problem))
+    }
+
+    #[test]
+    fn mistakes_are_told_where_they_are() {
+        assert_eq!(compiled("[health]", true, true), Ok(Times::default()));
+        let given = compiled("[health]\nleast = \"2s\"\nmost = \"3s\"", true, true).expect("it is right");
+        assert_eq!((given.least, given.most), (Duration::from_secs(2), Duration::from_secs(3)));
+        for (text, leases, may_probe, place, problem) in [
+            ("[health]\nleast = \"0s\"", true, true, "\"\\\"0s\\\"\"", "`least`"),
+            ("[health]\nmost = \"500ms\"", true, true, "\"\\\"500ms\\\"\"", "`most`"),
+            ("[health]\n", false, true, "\"[health]", "[lease]"),
+            ("[health]\n", true, false, "\"[health]", "does not allow"),
+        ] {
+            let wrong = compiled(text, leases, may_probe).expect_err(text);
+            assert!(wrong.starts_with(place) && wrong.contains(problem), "{wrong}");
+        }
+    }
+}
