--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use tempfile::TempDir;
 use tokio::process::{Child, Command};
+use tokio::signal::unix::{signal as unix, SignalKind};
 use tokio::task::LocalSet;
 
 /// Held while a process starts and while a socket is closed. Between fork and exec a child holds copies of all sockets
@@ -78,10 +79,18 @@
     command.spawn()
 }
 
-/// Runs a future to its end on this thread, on a `LocalSet` as everything here wants one. What it left running goes with it.
+/// Runs a future to its end on this thread, on a `LocalSet` as everything here wants one. What it left running goes with it, also when
+/// this process is told to end by SIGINT or SIGTERM: that is an error of the kind `Interrupted`.
 pub fn block_on<T>(future: impl Future<Output = T>) -> io::Result<T> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    Ok(LocalSet::new().block_on(&runtime, future))
+    LocalSet::new().block_on(&runtime, async {
+        let (mut interrupt, mut terminate) = (unix(SignalKind::interrupt())?, unix(SignalKind::terminate())?);
+        tokio::select! {
+            value = future => Ok(value),
+            _ = interrupt.recv() => Err(io::ErrorKind::Interrupted.into()),
+            _ = terminate.recv() => Err(io::ErrorKind::Interrupted.into()),
+        }
+    })
 }
 
 /// Time that a process's first thread was given.
