--- a/crates/lab/src/electorates.rs
+++ b/crates/lab/src/electorates.rs
@@ -66,9 +66,27 @@
         broken.len()
     );
     broken.iter().take(5).for_each(|b| println!("BROKEN: {b}"));
+    calm(a);
     broken.is_empty() & (a.without == 0 || taken_away(a))
 }
 
+/// What leases cost while nothing goes wrong: an hour with one that holds and so many that wait.
+fn calm(a: &Arguments) {
+    const HOUR: u64 = 3600;
+    println!("messages a second while nothing goes wrong, a ttl of 10 s\n");
+    println!("| voters | for a lease that is held | for each that waits |\n| ---: | ---: | ---: |");
+    let terms = Terms::new(Vec::new());
+    for voters in &a.voters {
+        let each = |candidates| {
+            let run = play(&terms, *voters as usize, candidates, HOUR, &Faults::none(), 1);
+            run.messages as f64 / HOUR as f64
+        };
+        let (held, many) = (each(1), each(11));
+        println!("| {voters} | {held:.2} | {:.2} |", (many - held) / 10.0);
+    }
+    println!();
+}
+
 fn taken_away(a: &Arguments) -> bool {
     let sound = Safeguards::ALL;
     // What a start forgets shows where processes start often.
