--- a/crates/standin/src/rig/leases.rs
+++ b/crates/standin/src/rig/leases.rs
@@ -50,6 +50,8 @@
     pub contend: &'static [usize],
     /// For how long a contender acts that is not told otherwise.
     pub keeps: Duration,
+    /// Contenders that find it busy ask anew at once, so that one is there in the moment in which it comes free.
+    pub eager: bool,
 }
 
 /// Seven contenders that take turns, five of their nodes vote, nothing goes wrong.
@@ -61,6 +63,7 @@
     without: &[],
     contend: &[],
     keeps: Duration::from_millis(1500),
+    eager: false,
 };
 
 /// What must hold: no two act at once, whatever the script does. Leases live for 2 s.
@@ -130,7 +133,7 @@
     let mut contenders = JoinSet::new();
     for place in (0..nodes).filter(|n| case.contend.is_empty() || case.contend.contains(n)) {
         let (acts, operators) = (acts.clone(), rig.desks());
-        let habit = Habit { keeps: case.keeps, polite: false };
+        let habit = Habit { keeps: case.keeps, polite: false, eager: case.eager };
         contenders.spawn_local(async move { contend(place, &operators, habit, &acts).await });
     }
     let granted = |h: &History| h.lines.iter().filter(|l| l.kind == "granted").count();
@@ -164,6 +167,8 @@
     pub keeps: Duration,
     /// Told that it is over it ends at once and gives the lease back; else it uses all the time that it was allowed.
     pub polite: bool,
+    /// It asks anew at once where another has it.
+    pub eager: bool,
 }
 
 /// Asks for the lease at one node, acts for as long as it may, gives it back after a while, and begins again.
@@ -195,6 +200,10 @@
         let words: Vec<&str> = line.split_ascii_whitespace().collect();
         let told = match (answered, &words[..]) {
             (Ok(Ok(_)), ["HELD", token, _, left]) => token.parse().ok().zip(left.parse::<u64>().ok()),
+            (Ok(Ok(_)), ["WAITING", "busy"]) if act.is_none() && habit.eager => {
+                let _ = timeout(PATIENCE, stream.write_all(b"RELEASE\n")).await;
+                return;
+            }
             (Ok(Ok(_)), ["WAITING", ..]) if act.is_none() => {
                 sleep(POLL).await;
                 continue;
--- a/crates/standin/src/rig/takeovers.rs
+++ b/crates/standin/src/rig/takeovers.rs
@@ -53,7 +53,7 @@
     rig.agreed(PATIENCE).await?;
     let acts: Rc<RefCell<Vec<Act>>> = Rc::default();
     let mut contenders = JoinSet::new();
-    let habit = Habit { keeps: Duration::from_secs(86_400), polite: true };
+    let habit = Habit { keeps: Duration::from_secs(86_400), polite: true, eager: false };
     for place in 0..nodes {
         let (acts, desks) = (acts.clone(), rig.desks());
         contenders.spawn_local(async move { contend(place, &desks, habit, &acts).await });
