Health: one rule for silence, one reader of members' tasks, nothing kept twice

Read again: the laboratory and the host each listed the outcomes that are silence (now Outcome::silent beside Outcome::spoken), node and lease-host each read Topic::Tasks (now runs), and Spare kept for each server what its set of those told of says. Span's field is private again. Behaviour stays; tests of these crates and the health test with processes pass.

--- a/crates/cluster-host/src/settings.rs
+++ b/crates/cluster-host/src/settings.rs
@@ -10,7 +10,7 @@
 /// A time with its unit, such as `400ms` or `1h`.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(transparent)]
-pub struct Span(#[serde(with = "humantime_serde")] pub Duration);
+pub struct Span(#[serde(with = "humantime_serde")] Duration);
 
 /// Where in a table settings are that others are checked beside.
 #[derive(Debug)]
--- a/crates/health/src/spare.rs
+++ b/crates/health/src/spare.rs
@@ -11,7 +11,6 @@
     /// When this node last looked by itself: asked, or met that silence.
     looked: Time,
     reported: Option<Time>,
-    told: bool,
 }
 
 /// What this node met at servers, and what it was told of them.
@@ -26,15 +25,10 @@
     /// From now on just these are told of as silent. Returns servers of which that was told and is no more, and whose last sign to this
     /// node was silence: one question of its own to each shows it whether they are back.
     pub fn told(&mut self, silent: impl Iterator<Item = Short>) -> Vec<u64> {
-        self.told = silent.collect();
-        let mut back = Vec::new();
-        for (name, server) in &mut self.silent {
-            let told = self.told.contains(&Short::of(*name));
-            if server.told && !told {
-                back.push(*name);
-            }
-            server.told = told;
-        }
+        let before = std::mem::replace(&mut self.told, silent.collect());
+        let no_more =
+            |name: &u64| before.contains(&Short::of(*name)) && !self.told.contains(&Short::of(*name));
+        let mut back: Vec<u64> = self.silent.keys().copied().filter(no_more).collect();
         back.sort_unstable();
         back
     }
@@ -53,7 +47,7 @@
             return false;
         }
         let told = self.told.contains(&Short::of(name));
-        let server = self.silent.entry(name).or_insert(Silent { looked: now, reported: None, told });
+        let server = self.silent.entry(name).or_insert(Silent { looked: now, reported: None });
         server.looked = now;
         if told || server.reported.is_some_and(|at| now < at + REPORT) {
             return false;
@@ -65,7 +59,7 @@
     /// Whether a question to a server is spared. If not it goes out now.
     pub fn spares(&mut self, now: Time, name: u64) -> bool {
         let Some(server) = self.silent.get_mut(&name) else { return false };
-        if server.told && now < server.looked + OWN {
+        if now < server.looked + OWN && self.told.contains(&Short::of(name)) {
             return true;
         }
         server.looked = now;
--- a/crates/host/src/health.rs
+++ b/crates/host/src/health.rs
@@ -67,8 +67,8 @@
 
     pub(crate) fn met(&mut self, server: ServerId, outcome: Outcome) {
         // What ended before it reached the server, or turned it away, says nothing of its silence.
-        let silence = matches!(outcome, Outcome::Unreachable | Outcome::TimedOut | Outcome::Broken);
-        let Some(name) = self.names.get(&server).copied().filter(|_| silence || outcome.spoken()) else {
+        let Some(name) = self.names.get(&server).copied().filter(|_| outcome.silent() || outcome.spoken())
+        else {
             return;
         };
         if self.spare.met(self.now(), name, outcome.spoken()) {
--- a/crates/lab/src/world/health.rs
+++ b/crates/lab/src/world/health.rs
@@ -83,8 +83,7 @@
     }
 
     pub(super) fn met(&mut self, node: usize, server: usize, outcome: Outcome) {
-        let silence = matches!(outcome, Outcome::Unreachable | Outcome::TimedOut | Outcome::Broken);
-        if !self.scenario.nodes.health || !outcome.spoken() && !silence {
+        if !self.scenario.nodes.health || !outcome.spoken() && !outcome.silent() {
             return;
         }
         let now = since_origin(self.now);
--- a/crates/lease-host/src/lib.rs
+++ b/crates/lease-host/src/lib.rs
@@ -10,7 +10,7 @@
 mod tasks;
 
 pub use settings::{Compiled, Table};
-pub use tasks::{Singleton, Tasks, Term};
+pub use tasks::{runs, Singleton, Tasks, Term};
 
 use birchswitch_cluster_host::Cluster;
 use birchswitch_lease::{
--- a/crates/lease-host/src/tasks.rs
+++ b/crates/lease-host/src/tasks.rs
@@ -2,7 +2,7 @@
 //! another node.
 
 use crate::{Hold, Leases, State};
-use birchswitch_cluster::{Standing, Topic};
+use birchswitch_cluster::{Record, Standing, Topic};
 use birchswitch_cluster_host::Cluster;
 use birchswitch_lease::{Advice, Held, Patience, Peer, Preference, Task};
 use std::cell::RefCell;
@@ -52,8 +52,9 @@
     runs: RefCell<BTreeSet<u32>>,
 }
 
-/// What members say that they run.
-fn read(bytes: &[u8]) -> Vec<u32> {
+/// The tasks that a member says it runs, by [`Task::id`].
+pub fn runs(record: &Record) -> Vec<u32> {
+    let bytes = record.value(Topic::Tasks).unwrap_or_default();
     bytes.chunks_exact(4).take(TOLD).map(|b| u32::from_le_bytes([b[0], b[1], b[2], b[3]])).collect()
 }
 
@@ -76,10 +77,7 @@
         if core.standing() == Standing::Gone {
             return Vec::new();
         }
-        let peer = |r: &birchswitch_cluster::Record| {
-            let runs = r.value(Topic::Tasks).map(read).unwrap_or_default();
-            Peer { name: r.name.clone(), zone: r.zone.clone(), runs }
-        };
+        let peer = |r: &Record| Peer { name: r.name.clone(), zone: r.zone.clone(), runs: runs(r) };
         let others = core.members().filter(|(_, m)| m.state.counts()).map(|(_, m)| peer(&m.record));
         others.chain([peer(core.own())]).collect()
     }
--- a/node/src/health.rs
+++ b/node/src/health.rs
@@ -5,7 +5,7 @@
 use birchswitch_health::{decode, encode, Rounds, Short, Times};
 use birchswitch_host::{Host, Upstream};
 use birchswitch_lease::Task;
-use birchswitch_lease_host::{Singleton, Tasks, Term};
+use birchswitch_lease_host::{runs, Singleton, Tasks, Term};
 use serde::Deserialize;
 use std::cell::RefCell;
 use std::future::Future;
@@ -94,15 +94,12 @@
     /// What the one that asks for this zone says, if one does: whether it is this node, where it is, and who is silent.
     fn asker<T>(&self, of: impl FnOnce(&Record) -> T) -> Option<T> {
         let core = self.cluster.core();
-        let id = self.task.id().to_le_bytes();
-        let runs = |r: &Record| {
-            r.zone == self.task.zone
-                && r.value(Topic::Tasks).is_some_and(|v| v.chunks_exact(4).any(|t| t == id))
-        };
-        if runs(core.own()) {
+        let id = self.task.id();
+        let asks = |r: &Record| r.zone == self.task.zone && runs(r).contains(&id);
+        if asks(core.own()) {
             return Some(of(core.own()));
         }
-        let other = core.members().find(|(_, m)| m.state.counts() && runs(&m.record));
+        let other = core.members().find(|(_, m)| m.state.counts() && asks(&m.record));
         other.map(|(_, m)| of(&m.record))
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -293,6 +293,11 @@
         matches!(self, Outcome::Served | Outcome::Error | Outcome::TurnedAway)
     }
 
+    /// Whether nothing was heard of the server, though it was to be.
+    pub fn silent(self) -> bool {
+        matches!(self, Outcome::TimedOut | Outcome::Unreachable | Outcome::Broken)
+    }
+
     /// Whether this outcome proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
         matches!(self, Outcome::TurnedAway | Outcome::Unreachable | Outcome::NotSent)
