--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -139,6 +139,8 @@
     /// Longest wait that clients may be told; none: they are told none.
     max_wait: Option<Duration>,
     warm_up: Duration,
+    /// When the process ends: every request is due by then.
+    end: Cell<Option<Instant>>,
 }
 
 /// Stands for requests that were turned away at the door: the engine never knew them.
@@ -181,6 +183,7 @@
             passes: RefCell::default(),
             max_wait: settings.max_wait,
             warm_up: settings.rules.warm_up,
+            end: Cell::new(None),
         });
         spawn_local(keep_time(Rc::downgrade(&host)));
         Ok(host)
@@ -260,6 +263,17 @@
         self.closed.set(true);
     }
 
+    /// The process ends at that time: what is in hand then, or is taken from now on, is due by then.
+    pub fn end_by(&self, end: Instant) {
+        self.end.set(Some(end));
+        let end = self.clock.time(end);
+        self.with(|engine, _| engine.end_by(end));
+    }
+
+    fn before_end(&self, at: Instant) -> Instant {
+        self.end.get().map_or(at, |end| at.min(end))
+    }
+
     // ---- what happens ----
     /// Takes in the list as last known before the start. The decisions are owed one, be it empty.
     pub fn known(&self, list: Option<&ServerList>) {
@@ -387,6 +401,7 @@
     /// Takes a client's request. Dropping [`Taken`] before its answer is the client's leaving.
     pub fn arrive(&self, request: Request<U::Request>) -> Result<Taken<U>, Duplicate> {
         let Request { incoming, due, last, key } = request;
+        let [due, last] = [due, last].map(|at| self.before_end(at));
         let Incoming { class, tenant, work, .. } = incoming;
         let door = self.door.borrow().clone();
         let pass = match door.map(|door| door.enter(&Entering { class, tenant, key, work })) {
--- a/crates/host/src/tickets.rs
+++ b/crates/host/src/tickets.rs
@@ -26,10 +26,16 @@
         (&mut self.answer).await.unwrap_or(Answer::Failed)
     }
 
+    /// Gives it up: no further attempt begins, and its answer is there at once, a refusal where that is true.
+    pub fn give_up(&self) {
+        let Some(host) = self.host.upgrade() else { return };
+        host.with(|engine, now| engine.turn_away(now, self.id, None));
+    }
+
     /// Sets its times anew, where they could not be known when it was taken.
     pub fn set_due(&self, due: Instant, last: Instant) {
         let Some(host) = self.host.upgrade() else { return };
-        let (due, last) = (host.clock.time(due), host.clock.time(last));
+        let [due, last] = [due, last].map(|at| host.clock.time(host.before_end(at)));
         host.with(|engine, _| engine.set_due(self.id, due, last));
     }
 }
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -392,10 +392,12 @@
         }
     }
 
-    async fn fill(&self, mut rest: Incoming, mut read: u64) -> Result<(), BodyError> {
+    /// Reads what still comes, until `due` at the latest, however steadily it comes.
+    async fn fill(&self, mut rest: Incoming, mut read: u64, due: Instant) -> Result<(), BodyError> {
         while !rest.is_end_stream() {
             let next = poll_fn(|cx| Pin::new(&mut rest).poll_frame(cx));
-            let Some(frame) = timeout(SILENCE, next).await.map_err(|_| BodyError::Silent)? else { break };
+            let patience = due.min(Instant::now() + SILENCE);
+            let Some(frame) = timeout_at(patience, next).await.map_err(|_| BodyError::Silent)? else { break };
             // Trailers belong to this connection's message.
             let Ok(data) = frame?.into_data() else { continue };
             read += data.len() as u64;
@@ -417,8 +419,14 @@
 
 impl Coming {
     /// Of which these first parts have come. Once all has come `end` is called; where it breaks off, or nobody wants it any
-    /// more, `end` is dropped, and with it the connection that it holds.
-    pub fn new(first: Vec<Bytes>, rest: Incoming, room: Rc<Room>, end: impl FnOnce() + 'static) -> Self {
+    /// more, `end` is dropped, and with it the connection that it holds. What has not come by `due` is not waited for.
+    pub fn new(
+        first: Vec<Bytes>,
+        rest: Incoming,
+        room: Rc<Room>,
+        due: Instant,
+        end: impl FnOnce() + 'static,
+    ) -> Self {
         let read = first.iter().map(|b| b.len() as u64).sum();
         let length = rest.size_hint().exact().map(|rest| rest + read);
         let queue = first.into_iter().map(|data| (data, 0)).collect();
@@ -426,7 +434,7 @@
         let pipe = Rc::new(Pipe { room, state, taken: Notify::new() });
         let filling = pipe.clone();
         let pump = spawn_local(async move {
-            let ended = filling.fill(rest, read).await;
+            let ended = filling.fill(rest, read, due).await;
             if ended.is_ok() {
                 end();
             }
--- /dev/null
+++ b/crates/http/src/front/answer.rs
@@ -0,0 +1,194 @@
+//! One request's answer: its head and body are read, the host is asked, and what it says becomes HTTP.
+
+use super::client::Client;
+use super::order::{end_to_end, Order};
+use super::{Front, Phase};
+use crate::body::{self, BodyError, First, Payload, Reply, Upload};
+use crate::gate::Problem;
+use crate::upstream::HttpUpstream;
+use birchswitch_engine::{Answer, Incoming};
+use birchswitch_host::{Request as Taking, Taken};
+use bytes::Bytes;
+use finchvale::Time;
+use hyper::body::Incoming as Body;
+use hyper::header::{self, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+
+/// Kept back from the client's time, for what lies between its send and the head's arrival here and for the
+/// answer's way back: at most this ...
+const MARGIN: Duration = Duration::from_millis(20);
+/// ... and at most this part of the time.
+const MARGIN_PART: u32 = 8;
+/// The part of the margin that an answer which the balancer owes may take.
+const OVERDUE: u32 = 4;
+/// The decisions on a request whose body still comes are over by then; it is set anew with the last byte, or once nothing
+/// more comes.
+const UPLOAD: Duration = Duration::from_secs(24 * 3600);
+/// How often it is looked whether an upload still moves.
+const UPLOAD_LOOK: Duration = Duration::from_millis(500);
+
+/// Why a request whose last byte has not come when the node ends is not waited for.
+const ENDING: &str = "this node ends: trying again is harmless";
+
+impl Front {
+    /// Answers a request.
+    pub(super) async fn answer(&self, client: &Client, request: Request<Body>) -> Response<Reply> {
+        let head = Instant::now();
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/health/ready") => {
+                let ready = self.host.ready() && *self.phase.borrow() == Phase::Serving;
+                return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+            }
+            (&Method::GET, "/health/live") => {
+                return plain(StatusCode::OK, format!("list {}\n", self.host.revision()));
+            }
+            _ => {}
+        }
+        let (parts, mut body) = request.into_parts();
+        let order = match self.read_head(&parts.method, &parts.uri, &parts.headers) {
+            Ok(order) => order,
+            Err((status, why)) => return turned_down(status, why),
+        };
+        let first = match self.read_body(&mut body, head).await {
+            Ok(first) => first,
+            Err((status, why)) => return turned_down(status, why),
+        };
+        if client.has_gone().await {
+            return plain(StatusCode::SERVICE_UNAVAILABLE, "nobody waits for the answer");
+        }
+        // A request's time counts from its last byte, which may have waited behind another request.
+        let margin = MARGIN.min(order.wait / MARGIN_PART);
+        let times = |last_byte: Instant| {
+            let due = last_byte + order.wait - margin;
+            (due, due + margin / OVERDUE)
+        };
+        let (payload, upload) = match first.whole {
+            true => (Payload::Whole(first.joined()), None),
+            false => {
+                let upload = Upload::new(first.parts, body, head, self.room.clone(), order.wait);
+                (Payload::Coming(upload.clone()), Some(upload))
+            }
+        };
+        let (due, last) = match &upload {
+            None => times(client.take_last_byte().unwrap_or_else(Instant::now)),
+            Some(_) => (head + UPLOAD, head + UPLOAD),
+        };
+        let mut outgoing = Request::new(payload);
+        *outgoing.method_mut() = parts.method;
+        *outgoing.uri_mut() = order.target;
+        *outgoing.headers_mut() = end_to_end(parts.headers);
+        let Order { class, tenant, work, key, id: name, .. } = order;
+        // The host fills in the times.
+        let (no_due, no_last) = (Time(0), Time(0));
+        let whole = upload.is_none();
+        let incoming =
+            Incoming { class, tenant, work, whole, due: no_due, last: no_last, name, request: outgoing };
+        let Ok(mut taken) = self.host.arrive(Taking { incoming, due, last, key }) else {
+            return turned_down(StatusCode::CONFLICT, "a request of this X-Request-ID is open");
+        };
+        let answer = match upload {
+            None => while_wanted(&mut taken, client).await,
+            Some(upload) => {
+                let answer = uploading(&mut taken, &upload, times).await;
+                // A client reads nothing before it has written all.
+                spawn_local(upload.drain());
+                answer
+            }
+        };
+        into_response(answer, taken.why())
+    }
+
+    /// Reads a body, or as much of it as is held whole. A node that ends waits no longer.
+    async fn read_body(&self, body: &mut Body, head: Instant) -> Result<First, Problem> {
+        let mut phase = self.phase.clone();
+        tokio::select! {
+            biased;
+            first = First::read(body, |bytes| body::until(head, bytes), false) => first.map_err(|error| match error {
+                BodyError::Silent => (StatusCode::REQUEST_TIMEOUT, "the body took too long"),
+                _ => (StatusCode::BAD_REQUEST, "the body is not whole"),
+            }),
+            _ = phase.wait_for(|p| *p == Phase::Finishing) => Err((StatusCode::SERVICE_UNAVAILABLE, ENDING)),
+        }
+    }
+}
+
+/// Waits for the answer. A client that ends its sending meanwhile has gone: its request is given up, and begins no further
+/// attempt.
+async fn while_wanted(taken: &mut Taken<HttpUpstream>, client: &Client) -> Answer<Response<Reply>> {
+    tokio::select! {
+        biased;
+        answer = taken.answer() => return answer,
+        () = client.left() => {}
+    }
+    taken.give_up();
+    taken.answer().await
+}
+
+/// A final answer as HTTP. `why` tells more of a refusal.
+fn into_response(answer: Answer<Response<Reply>>, why: Option<&'static str>) -> Response<Reply> {
+    match answer {
+        Answer::Served(response) => {
+            let (head, body) = response.into_parts();
+            let mut response = Response::new(body);
+            *response.headers_mut() = end_to_end(head.headers);
+            response
+        }
+        Answer::Refused(wait) => {
+            let why = why.unwrap_or("refused: trying again is harmless");
+            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, why);
+            if let Some(wait) = wait {
+                let wait = HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64()));
+                let wait = wait.expect("a decimal number is valid in a header");
+                response.headers_mut().insert(header::RETRY_AFTER, wait);
+            }
+            response
+        }
+        Answer::Failed => plain(StatusCode::GATEWAY_TIMEOUT, "failed: the request may have been carried out"),
+    }
+}
+
+/// Waits for the answer to a request whose body still comes. Its time begins with the last byte, and is over where nothing more
+/// comes or is taken.
+async fn uploading(
+    taken: &mut Taken<HttpUpstream>,
+    upload: &Rc<Upload>,
+    times: impl Fn(Instant) -> (Instant, Instant),
+) -> Answer<Response<Reply>> {
+    let mut open = true;
+    loop {
+        tokio::select! {
+            biased;
+            answer = taken.answer() => return answer,
+            () = upload.whole(), if open => {
+                open = false;
+                let (due, last) = times(Instant::now());
+                taken.set_due(due, last);
+            }
+            () = tokio::time::sleep(UPLOAD_LOOK), if open => {
+                if upload.stuck() {
+                    open = false;
+                    taken.set_due(Instant::now(), Instant::now());
+                }
+            }
+        }
+    }
+}
+
+/// The answer to what is malformed. Nothing more is read on its connection: who sends one such thing is not trusted to
+/// have begun the next where it seems to.
+pub(super) fn turned_down(status: StatusCode, why: &'static str) -> Response<Reply> {
+    let mut response = plain(status, why);
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Reply> {
+    let mut response = Response::new(Reply::Whole(text.into()));
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    response
+}
--- a/crates/http/src/gate.rs
+++ b/crates/http/src/gate.rs
@@ -8,13 +8,16 @@
 use bytes::{Buf, BytesMut};
 use hyper::StatusCode;
 use socket2::SockRef;
+use std::collections::VecDeque;
 use std::io::{self, IoSlice};
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// Most that a head may hold, interim ones before it included.
 const MOST_HEAD: usize = 16 << 10;
@@ -23,6 +26,12 @@
 /// Room made for one read, and for one where the last one filled its own.
 const READ: usize = 4 << 10;
 const READ_MORE: usize = 32 << 10;
+/// Most that is read behind a message in hand.
+const MOST_AHEAD: usize = 16 << 10;
+/// Bytes that come within this time of each other count as come together, with the first of them.
+const TOGETHER: Duration = Duration::from_millis(5);
+/// What a head is told that was not whole when the node ended.
+const ENDING: Problem = (StatusCode::SERVICE_UNAVAILABLE, "this node ends: trying again is harmless");
 
 /// Why a message is turned down.
 pub type Problem = (StatusCode, &'static str);
@@ -51,6 +60,19 @@
     pub next: Next,
 }
 
+/// How a gate goes on between two messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    /// The next message is let through as it comes.
+    Through,
+    /// A message is in hand: what comes behind it is read and held, up to a bound, so that the connection's end shows.
+    Ahead,
+    /// What is held is let through, and nothing more is read.
+    Held,
+    /// Nothing more is read or let through.
+    Stopped,
+}
+
 /// Decides about heads, for one side of the node.
 pub trait Guard {
     /// What comes first, and after each message.
@@ -65,6 +87,53 @@
     }
     /// More than the message came with it. Hyper is told only when it reads on, which may be too late.
     fn more(&self) {}
+    /// How to go on between two messages.
+    fn reading(&self) -> Reading {
+        Reading::Through
+    }
+    /// A message has passed whole; its last byte came at this time.
+    fn whole(&self, _came: Instant) {}
+    /// So many bytes are held behind the message in hand.
+    fn ahead(&self, _bytes: usize) {}
+    /// The bound for what is held is reached: the connection's end will not show by reading.
+    fn unread(&self) {}
+    /// The other side ended its sending while a message is in hand.
+    fn ended(&self) {}
+    /// Some bytes went out; if `all`, so did everything that hyper had to write.
+    fn wrote(&self, _all: bool) {}
+}
+
+/// When the bytes of a connection came.
+#[derive(Debug, Default)]
+struct Arrivals {
+    /// Bytes that have come so far, and how many of them have passed on.
+    come: u64,
+    passed: u64,
+    /// Up to which byte, and when the first of them since the mark before.
+    marks: VecDeque<(u64, Instant)>,
+}
+
+impl Arrivals {
+    fn came(&mut self, bytes: usize, now: Instant) {
+        self.come += bytes as u64;
+        match self.marks.back_mut().filter(|mark| now - mark.1 < TOGETHER) {
+            Some(mark) => mark.0 = self.come,
+            None => self.marks.push_back((self.come, now)),
+        }
+    }
+
+    /// So many more have passed on. Says when the last of them came.
+    fn pass(&mut self, bytes: usize) -> Option<Instant> {
+        self.passed += bytes as u64;
+        while self.marks.front().is_some_and(|mark| mark.0 < self.passed) {
+            self.marks.pop_front();
+        }
+        let came = self.marks.front().map(|mark| mark.1);
+        if self.passed == self.come {
+            self.marks.clear();
+        }
+        came
+    }
 }
 
 /// See the module's own words.
@@ -79,12 +148,25 @@
     read: usize,
     /// Bytes of interim heads since something was written.
     interim: usize,
+    arrivals: Arrivals,
+    /// The other side has ended its sending.
+    ended: bool,
 }
 
 impl<G: Guard> Gate<G> {
     /// Around a socket on which nothing was read yet.
     pub fn new(socket: Rc<TcpStream>, guard: G) -> Self {
-        Gate { socket, guard, held: BytesMut::new(), pass: 0, next: G::BETWEEN, read: READ, interim: 0 }
+        Gate {
+            socket,
+            guard,
+            held: BytesMut::new(),
+            pass: 0,
+            next: G::BETWEEN,
+            read: READ,
+            interim: 0,
+            arrivals: Arrivals::default(),
+            ended: false,
+        }
     }
 
     /// Reads more into what is held.
@@ -110,6 +192,8 @@
             match (read, drained) {
                 (Some(n), _) => {
                     self.read = if n >= READ { READ_MORE } else { READ };
+                    self.ended = n == 0;
+                    self.arrivals.came(n, Instant::now());
                     return Poll::Ready(Ok(n));
                 }
                 (None, Err(error)) if error.kind() != io::ErrorKind::WouldBlock => {
@@ -120,6 +204,44 @@
         }
     }
 
+    /// A message has passed whole, the last byte of which came at this time.
+    fn passed_whole(&mut self, came: Instant) {
+        self.next = G::BETWEEN;
+        if !self.held.is_empty() {
+            self.guard.more();
+        } else if self.held.capacity() > READ_MORE / 2 {
+            // A connection that rests holds no more than one that is new.
+            self.held = BytesMut::new();
+        }
+        self.guard.ahead(self.held.len());
+        self.guard.whole(came);
+    }
+
+    /// Reads behind the message in hand. Hyper is given nothing of it yet.
+    fn read_ahead(&mut self, cx: &mut Context) -> Poll<io::Result<()>> {
+        while !self.ended && self.held.len() < MOST_AHEAD {
+            self.read = READ;
+            let read = self.fill(cx)?;
+            self.guard.ahead(self.held.len());
+            if ready!(read) == 0 {
+                self.guard.ended();
+            }
+        }
+        if !self.ended {
+            self.guard.unread();
+        }
+        Poll::Pending
+    }
+
+    /// Puts what a guard says in the place of a message that is turned down.
+    fn turn_down(&mut self, problem: Problem) -> io::Result<()> {
+        let instead = self.guard.turn_down(problem)?;
+        self.held.clear();
+        self.held.extend_from_slice(instead);
+        (self.pass, self.next) = (self.held.len(), Next::Over);
+        Ok(())
+    }
+
     /// Looks for a whole head in what is held.
     fn find_head(&mut self) -> Result<bool, Problem> {
         if self.held.is_empty() {
@@ -143,32 +265,31 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let me = self.get_mut();
         loop {
-            if me.next == Next::Body(0) {
-                if me.held.len() > me.pass {
-                    me.guard.more();
-                } else if me.held.capacity() > READ_MORE / 2 && me.held.is_empty() {
-                    // A connection that rests holds no more than one that is new.
-                    me.held = BytesMut::new();
-                }
-                me.next = G::BETWEEN;
-            }
             if me.pass > 0 {
                 let part = me.pass.min(buf.remaining());
                 buf.put_slice(&me.held[..part]);
                 me.held.advance(part);
                 me.pass -= part;
+                let came = me.arrivals.pass(part);
+                if me.pass == 0 && me.next == Next::Body(0) {
+                    me.passed_whole(came.unwrap_or_else(Instant::now));
+                }
                 return Poll::Ready(Ok(()));
             }
             match me.next {
-                Next::Head => match me.find_head() {
-                    Ok(true) => {}
-                    Ok(false) if ready!(me.fill(cx))? == 0 => return Poll::Ready(Ok(())),
-                    Ok(false) => {}
-                    Err(problem) => {
-                        me.held.clear();
-                        me.held.extend_from_slice(me.guard.turn_down(problem)?);
-                        (me.pass, me.next) = (me.held.len(), Next::Over);
-                    }
+                Next::Head => match me.guard.reading() {
+                    Reading::Stopped => return Poll::Pending,
+                    Reading::Ahead => return me.read_ahead(cx),
+                    // Whoever has gone is answered no more.
+                    _ if me.ended => return Poll::Ready(Ok(())),
+                    reading => match me.find_head() {
+                        Ok(true) => {}
+                        Ok(false) if reading == Reading::Held && me.held.is_empty() => return Poll::Pending,
+                        Ok(false) if reading == Reading::Held => me.turn_down(ENDING)?,
+                        Ok(false) if ready!(me.fill(cx))? == 0 => return Poll::Ready(Ok(())),
+                        Ok(false) => {}
+                        Err(problem) => me.turn_down(problem)?,
+                    },
                 },
                 Next::Body(_) | Next::Chunked if me.held.is_empty() => {
                     if ready!(me.fill(cx))? == 0 {
@@ -205,6 +326,9 @@
             match write(&me.socket) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 written => {
+                    if written.as_ref().is_ok_and(|n| *n > 0) {
+                        me.guard.wrote(false);
+                    }
                     if me.next == Next::Nothing && me.held.is_empty() {
                         (me.next, me.interim) = (Next::Head, 0);
                     }
@@ -233,6 +357,7 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        self.guard.wrote(true);
         Poll::Ready(Ok(())) // Nothing is held back.
     }
 
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -23,11 +23,15 @@
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 /// Before it is used again a connection has to be quiet for so long: bytes behind an answer, on their way when it was
 /// given back, would pass for the answer to the next request.
 const QUARANTINE: Duration = Duration::from_millis(5);
 
+/// Beyond the client's time an answer that is passed on may take so long to come, since a little late is better than broken off.
+const OVERTIME: Duration = Duration::from_millis(300);
+
 /// What hyper may hold of a message that passes through.
 pub(crate) const MOST_BUFFERED: usize = 64 << 10;
 
@@ -39,9 +43,21 @@
     socket: Weak<TcpStream>,
     /// More than the answer came with it.
     more: Rc<Cell<bool>>,
+    sending: Rc<Cell<Sending>>,
     generation: u64,
 }
 
+/// How far the request under way has gone out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sending {
+    /// Nothing of it has.
+    Nothing,
+    /// Some of it has.
+    Some,
+    /// All that there was to write.
+    All,
+}
+
 impl Pooled for Connection {
     /// Whether the server has neither closed it nor sent what nobody asked for.
     fn good(&self) -> bool {
@@ -62,6 +78,7 @@
 /// Reads the heads of answers. What is no good ends the connection, and with it the attempt.
 struct Answers {
     more: Rc<Cell<bool>>,
+    sending: Rc<Cell<Sending>>,
 }
 
 impl Guard for Answers {
@@ -78,6 +95,14 @@
     fn more(&self) {
         self.more.set(true);
     }
+
+    fn wrote(&self, all: bool) {
+        match (all, self.sending.get()) {
+            (false, _) => self.sending.set(Sending::Some),
+            (true, Sending::Some) => self.sending.set(Sending::All),
+            (true, Sending::Nothing | Sending::All) => {}
+        }
+    }
 }
 
 /// A server's answer as far as it is read at once, and its connection, if it is good for another request or there is more
@@ -138,11 +163,12 @@
         let Fresh { stream, slot, generation } = self.pool.connect(server).await?;
         let (stream, more) = (Rc::new(stream), Rc::new(Cell::new(false)));
         let socket = Rc::downgrade(&stream);
-        let gate = Gate::new(stream, Answers { more: more.clone() });
+        let sending = Rc::new(Cell::new(Sending::Nothing));
+        let gate = Gate::new(stream, Answers { more: more.clone(), sending: sending.clone() });
         let made = http1::Builder::new().max_buf_size(MOST_BUFFERED).handshake(TokioIo::new(gate)).await;
         let (sender, connection) = made.map_err(|_| Outcome::Unreachable)?;
         let driver = tokio::task::spawn_local(drive(connection, slot)).abort_handle();
-        Ok(Connection { sender, driver, socket, more, generation })
+        Ok(Connection { sender, driver, socket, more, sending, generation })
     }
 
     // ---- attempts and probes ----
@@ -156,12 +182,14 @@
             Outgoing::Whole(_) => None,
             Outgoing::Coming(reader) => Some(reader.finished.clone()),
         };
+        connection.sending.set(Sending::Nothing);
         let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
             // Handed back unsent. Anything else may have reached the server, and may have run there.
             Err(error) if error.message().is_some() => return Err(Outcome::Unreachable),
             // But none runs before its last byte has come.
             Err(_) if whole.is_some_and(|whole| !whole.get()) => return Err(Outcome::Unreachable),
+            Err(_) if connection.sending.get() != Sending::All => return Err(Outcome::Unreachable),
             Err(_) => return Err(Outcome::Broken),
         };
         let (head, mut rest) = response.into_parts();
@@ -225,6 +253,7 @@
         *outgoing.headers_mut() = request.headers().clone();
         let told = HeaderValue::from_str(&format!("{}u", left.as_micros()));
         outgoing.headers_mut().insert("x-timeout", told.expect("digits are valid in a header"));
+        let sent = Instant::now();
         let Exchanged { head, first, rest, connection } =
             match Self::exchange(connection, outgoing, left).await {
                 Ok(exchanged) => exchanged,
@@ -237,7 +266,9 @@
             // The connection goes with what still comes.
             let room = self.room.clone();
             let end = move || self.pool.give_back(&server, connection);
-            let coming = Coming::new(first.parts, rest, room, end);
+            // An upload's time counts from its last byte, which was out before the answer's first.
+            let since = if matches!(request.body(), Payload::Whole(_)) { sent } else { Instant::now() };
+            let coming = Coming::new(first.parts, rest, room, since + left + OVERTIME, end);
             let answer = Response::from_parts(head, Reply::Coming(coming));
             return ticket.end(Ended { outcome, report, answer: Some(answer) });
         }
--- a/crates/membership/src/discovery.rs
+++ b/crates/membership/src/discovery.rs
@@ -1,8 +1,10 @@
 //! The platform's discovery over HTTP/1.1: the whole list on request, and a watch that brings changes.
 
+use crate::framing::{FramingError, Objects};
 use crate::list::{ListError, ServerList};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -12,17 +14,44 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::{spawn_local, AbortHandle};
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// An empty line is due every 2 s, and news counts as told 6 s after it came up: a watch that has been silent
-/// for this long is taken for dead, which leaves time to open the next.
+/// for this long is taken for dead, which leaves time to open the next. So is one on which a list does not come to its end.
 const SILENCE: Duration = Duration::from_secs(3);
-/// For the connection to come up.
-const CONNECT: Duration = Duration::from_secs(1);
-/// Pauses before a broken watch is opened again: the first, and the longest.
-const PAUSE: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(1)];
-/// Longest line that is taken in.
-const LONGEST_LINE: usize = 4 << 20;
+/// Largest whole list that is taken in.
+const LARGEST_LIST: usize = 4 << 20;
+
+/// How long discovery may take, and how soon it is called again.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// For a connection to come up.
+    pub connect: Duration,
+    /// For an answer to begin.
+    pub answer: Duration,
+    /// The first pause before a broken watch is opened again.
+    pub first_pause: Duration,
+    /// The longest.
+    pub longest_pause: Duration,
+}
+
+impl Patience {
+    /// An agent on the node's own machine. It answers at once and at no cost, or not at all; what it hears while it says
+    /// nothing counts as told from the moment in which it can be reached again.
+    pub const AGENT: Patience = Patience {
+        connect: Duration::from_millis(250),
+        answer: Duration::from_millis(500),
+        first_pause: Duration::from_millis(100),
+        longest_pause: Duration::from_millis(200),
+    };
+    /// One service for all nodes, which works through calls in turn.
+    pub const SERVICE: Patience = Patience {
+        connect: Duration::from_secs(1),
+        answer: SILENCE,
+        first_pause: Duration::from_millis(100),
+        longest_pause: Duration::from_secs(1),
+    };
+}
 
 /// How a watch ended.
 #[derive(Debug, thiserror::Error)]
@@ -45,8 +74,11 @@
     /// A line that is no server list.
     #[error("unusable line: {0}")]
     BadLine(#[from] ListError),
-    /// A line that is too long, or a whole list that isn't whole.
+    /// What came is no sequence of lists.
     #[error("unusable line: {0}")]
+    Framing(#[from] FramingError),
+    /// A whole list that is too long, or isn't whole.
+    #[error("unusable list: {0}")]
     Unusable(String),
 }
 
@@ -64,6 +96,7 @@
 /// Follows discovery in a task of its own, on a `LocalSet`.
 pub struct Discovery {
     address: Cell<SocketAddr>,
+    patience: Patience,
     /// The list held is not from where the list is now: changes to it are no use.
     moved: Cell<bool>,
     /// Version of the list held.
@@ -76,9 +109,15 @@
 
 impl Discovery {
     /// Starts from a list of this revision, 0 for none. What is said goes to `tell`.
-    pub fn new(address: SocketAddr, revision: u64, tell: impl Fn(Told) + 'static) -> Rc<Self> {
+    pub fn new(
+        address: SocketAddr,
+        patience: Patience,
+        revision: u64,
+        tell: impl Fn(Told) + 'static,
+    ) -> Rc<Self> {
         Rc::new(Discovery {
             address: Cell::new(address),
+            patience,
             moved: Cell::new(false),
             revision: Cell::new(revision),
             lists_taken: Cell::new(0),
@@ -128,16 +167,17 @@
     }
 
     async fn keep_watching(&self) {
-        let mut pause = PAUSE[0];
+        let Patience { first_pause, longest_pause, .. } = self.patience;
+        let mut pause = first_pause;
         loop {
             let before = self.lists_taken.get();
             let error = self.watch().await;
             if self.lists_taken.get() != before {
-                pause = PAUSE[0];
+                pause = first_pause;
             }
             (self.tell)(Told::Again(error, pause));
             tokio::time::sleep(pause).await;
-            pause = (pause * 2).min(PAUSE[1]);
+            pause = (pause * 2).min(longest_pause);
         }
     }
 
@@ -146,7 +186,7 @@
         let address = self.address.get();
         if self.moved.get() {
             // The version held comes from another address and may mean anything here, also one that is newer.
-            match timeout(SILENCE, fetch(address)).await {
+            match timeout(SILENCE, self.fetch(address)).await {
                 Ok(Ok(list)) => self.take(list),
                 Ok(Err(error)) => return error,
                 Err(_) => return WatchError::Silent,
@@ -160,38 +200,17 @@
 
     /// Reads one watch to its end.
     async fn run_watch(&self, address: SocketAddr) -> Result<(), WatchError> {
-        let (mut sender, connection) = http1::handshake(TokioIo::new(connect(address).await?)).await?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(self.connect(address).await?)).await?;
         // The connection is driven here, so that nothing of it outlives the watch.
         let lines = async {
             let since = self.revision.get();
             let request = request(address, &format!("?follow=1&since={since}"));
-            let response = timeout(SILENCE, sender.send_request(request)).await;
+            let response = timeout(self.patience.answer, sender.send_request(request)).await;
             let response = response.map_err(|_| WatchError::Silent)??;
             if response.status() != StatusCode::OK {
                 return Err(WatchError::Status(response.status()));
             }
-            let mut body = response.into_body();
-            let mut held = BytesMut::new();
-            loop {
-                // A machine that vanishes leaves its connections open and silent: only the clock tells.
-                let frame = timeout(SILENCE, body.frame()).await.map_err(|_| WatchError::Silent)?;
-                let Some(frame) = frame else { return Ok(()) };
-                let Ok(data) = frame?.into_data() else { continue };
-                let mut searched = held.len();
-                held.extend_from_slice(&data);
-                while let Some(end) = held[searched..].iter().position(|&b| b == b'\n') {
-                    let line = held.split_to(searched + end + 1);
-                    searched = 0;
-                    let line = line.trim_ascii();
-                    if !line.is_empty() {
-                        // After a bad line the next may rest on what it said: a new watch starts from the last good one.
-                        self.take(ServerList::parse(line)?);
-                    }
-                }
-                if held.len() > LONGEST_LINE {
-                    return Err(WatchError::Unusable(format!("over {LONGEST_LINE} bytes")));
-                }
-            }
+            self.read_lists(response.into_body()).await
         };
         tokio::select! {
             biased; // What has come is read before the end is noticed.
@@ -199,12 +218,65 @@
             ended = connection => Err(ended.map_or_else(WatchError::Http, |()| WatchError::Ended)),
         }
     }
-}
 
-async fn connect(address: SocketAddr) -> Result<TcpStream, WatchError> {
-    match timeout(CONNECT, TcpStream::connect(address)).await {
-        Ok(stream) => stream.map_err(WatchError::Connect),
-        Err(_) => Err(WatchError::Silent),
+    /// Takes in what a watch brings, until its connection ends.
+    async fn read_lists(&self, mut body: Incoming) -> Result<(), WatchError> {
+        let mut objects = Objects::default();
+        let mut patience_ends = Instant::now() + SILENCE;
+        loop {
+            // A machine that vanishes leaves its connections open and silent: only the clock tells.
+            let frame = timeout_at(patience_ends, body.frame()).await.map_err(|_| WatchError::Silent)?;
+            let Some(frame) = frame else { return Ok(()) };
+            let Ok(data) = frame?.into_data() else { continue };
+            let was_within = objects.is_within_object();
+            let mut taken = false;
+            objects.push(&data);
+            while let Some(object) = objects.next_object()? {
+                // After a bad list the next may rest on what it said: a new watch starts from the last good one.
+                self.take(ServerList::parse(&object)?);
+                taken = true;
+            }
+            // One that has begun has to come to its end in time, however its bytes trickle in.
+            if taken || !(was_within && objects.is_within_object()) {
+                patience_ends = Instant::now() + SILENCE;
+            }
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<TcpStream, WatchError> {
+        match timeout(self.patience.connect, TcpStream::connect(address)).await {
+            Ok(stream) => stream.map_err(WatchError::Connect),
+            Err(_) => Err(WatchError::Silent),
+        }
+    }
+
+    /// Asks for the whole list, once.
+    async fn fetch(&self, address: SocketAddr) -> Result<ServerList, WatchError> {
+        let (mut sender, connection) = http1::handshake(TokioIo::new(self.connect(address).await?)).await?;
+        let list = async {
+            let response = timeout(self.patience.answer, sender.send_request(request(address, ""))).await;
+            let response = response.map_err(|_| WatchError::Silent)??;
+            if response.status() != StatusCode::OK {
+                return Err(WatchError::Status(response.status()));
+            }
+            let body = Limited::new(response.into_body(), LARGEST_LIST).collect().await;
+            let list = ServerList::parse(&body.map_err(|e| WatchError::Unusable(e.to_string()))?.to_bytes())?;
+            match list.complete {
+                true => Ok(list),
+                false => Err(WatchError::Unusable("the list is not complete".to_owned())),
+            }
+        };
+        let mut connection = std::pin::pin!(connection);
+        let mut list = std::pin::pin!(list);
+        tokio::select! {
+            biased;
+            list = list.as_mut() => list,
+            // The answer may end with its connection: what has come is still to be read.
+            ended = connection.as_mut() => match ended {
+                Ok(()) => list.await,
+                Err(error) => Err(error.into()),
+            },
+        }
     }
 }
 
@@ -212,31 +284,3 @@
     let request = Request::get(format!("/registry/instances{query}")).header("host", address.to_string());
     request.body(Empty::new()).expect("a fixed path and an address are valid")
 }
-
-/// Asks for the whole list, once.
-async fn fetch(address: SocketAddr) -> Result<ServerList, WatchError> {
-    let (mut sender, connection) = http1::handshake(TokioIo::new(connect(address).await?)).await?;
-    let list = async {
-        let response = sender.send_request(request(address, "")).await?;
-        if response.status() != StatusCode::OK {
-            return Err(WatchError::Status(response.status()));
-        }
-        let body = Limited::new(response.into_body(), LONGEST_LINE).collect().await;
-        let list = ServerList::parse(&body.map_err(|e| WatchError::Unusable(e.to_string()))?.to_bytes())?;
-        match list.complete {
-            true => Ok(list),
-            false => Err(WatchError::Unusable("the list is not complete".to_owned())),
-        }
-    };
-    let mut connection = std::pin::pin!(connection);
-    let mut list = std::pin::pin!(list);
-    tokio::select! {
-        biased;
-        list = list.as_mut() => list,
-        // The answer may end with its connection: what has come is still to be read.
-        ended = connection.as_mut() => match ended {
-            Ok(()) => list.await,
-            Err(error) => Err(error.into()),
-        },
-    }
-}
--- a/crates/standin/src/rig/wallet.rs
+++ b/crates/standin/src/rig/wallet.rs
@@ -38,6 +38,8 @@
     pub overdraft: u64,
     /// Thousandths of answers that are errors.
     pub errs: u32,
+    /// For how long servers work on a request.
+    pub takes: Duration,
     /// Further tables of the operator's file.
     pub more: &'a str,
     /// The seed.
@@ -45,8 +47,16 @@
 }
 
 /// Twelve nodes, nothing wrong.
-pub const SOUND: Case<'static> =
-    Case { nodes: 12, without: &[], ledger: "", overdraft: 0, errs: 0, more: "", seed: 1 };
+pub const SOUND: Case<'static> = Case {
+    nodes: 12,
+    without: &[],
+    ledger: "",
+    overdraft: 0,
+    errs: 0,
+    takes: Duration::from_millis(20),
+    more: "",
+    seed: 1,
+};
 
 /// What the ledger says of the account.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -83,7 +93,7 @@
     pub async fn open(case: &Case<'_>, binary: PathBuf) -> Result<Bank, CaseError> {
         let mut script = Script::parse("0s wire lose 0", 0, case.nodes)?;
         script.seed = case.seed;
-        let habits = Habits { takes: Duration::from_millis(20), errs: case.errs, stumbles: 0, tells: 0.5 };
+        let habits = Habits { takes: case.takes, errs: case.errs, stumbles: 0, tells: 0.5 };
         let site = Site::start(5, habits).await.map_err(super::io("a server"))?;
         let prices: Vec<String> = PRICES.iter().map(|(class, price)| format!("{class} = {price}")).collect();
         let operator = format!(
--- a/crates/standin/src/scripted/wire.rs
+++ b/crates/standin/src/scripted/wire.rs
@@ -84,12 +84,28 @@
         Wire::new(within("a connection", TcpStream::connect(address)).await.expect("a connection"))
     }
 
-    /// Closes it, and waits until the other side has seen that and closed as well.
+    /// Closes it, and waits until the other side has seen that and closed as well, without another word.
     pub async fn close(mut self) {
-        self.0.get_mut().shutdown().await.expect("the closing");
+        self.end_sending().await;
         self.closed().await;
     }
 
+    /// Ends its sending, and waits until the other side has closed as well. What that still said.
+    pub async fn hang_up(mut self) -> String {
+        self.end_sending().await;
+        String::from_utf8_lossy(&self.rest().await).into_owned()
+    }
+
+    /// Ends its sending and goes on reading.
+    pub async fn end_sending(&mut self) {
+        self.0.get_mut().shutdown().await.expect("the sending's end");
+    }
+
+    /// Closes it with a reset, whatever is under way.
+    pub fn reset(self) {
+        self.0.get_ref().set_zero_linger().expect("an option");
+    }
+
     /// Writes text as it is.
     pub async fn write(&mut self, text: &str) {
         self.0.get_mut().write_all(text.as_bytes()).await.expect("writing");
@@ -152,6 +168,23 @@
         Some(message)
     }
 
+    /// The next message, whose body may come in chunks; None if the connection ends before it is whole.
+    pub async fn read_chunked(&mut self) -> Option<Message> {
+        let mut message = self.read().await?;
+        if message.header("transfer-encoding") != Some("chunked") {
+            return Some(message);
+        }
+        loop {
+            let size = usize::from_str_radix(&self.line().await?, 16).ok()?;
+            let mut chunk = vec![0; size + 2];
+            within("a chunk", self.0.read_exact(&mut chunk)).await.ok()?;
+            message.body.extend_from_slice(&chunk[..size]);
+            if size == 0 {
+                return Some(message);
+            }
+        }
+    }
+
     /// Waits for the other side to close.
     pub async fn closed(&mut self) {
         let mut rest = Vec::new();
@@ -222,6 +255,13 @@
     pub async fn frame(&mut self) -> Option<Vec<u8>> {
         within("a frame", read_frame(&mut self.0)).await
     }
+
+    /// See [`Wire::line`].
+    pub async fn line(&mut self) -> Option<String> {
+        let mut line = String::new();
+        let read = within("a line", self.0.read_line(&mut line)).await;
+        matches!(read, Ok(n) if n > 0).then(|| line.trim_end().to_owned())
+    }
 }
 
 /// The writing half of a connection.
@@ -299,9 +339,26 @@
         (wire, request)
     }
 
-    /// Whether a connection waits to be accepted.
+    /// Whether no connection waits to be accepted.
     pub async fn untouched(&self) -> bool {
-        tokio::time::timeout(Duration::from_millis(50), self.0.accept()).await.is_err()
+        match tokio::time::timeout(Duration::from_millis(50), self.0.accept()).await {
+            Err(_) => true,
+            Ok(accepted) => {
+                let mut wire = Wire::new(accepted.expect("a connection").0);
+                let said = tokio::time::timeout(Duration::from_millis(50), wire.read_message()).await;
+                println!("touched by {said:?}");
+                false
+            }
+        }
+    }
+
+    /// Whether no request comes, be there a connection or not.
+    pub async fn unasked(&self) -> bool {
+        let asked = async {
+            let stream = self.0.accept().await.expect("a connection").0;
+            Wire::new(stream).read_message().await
+        };
+        !matches!(tokio::time::timeout(Duration::from_millis(100), asked).await, Ok(Some(_)))
     }
 
     /// For discovery: takes in a watch and begins its answer.
@@ -312,6 +369,20 @@
     }
 }
 
+/// A listener whose queue of connections is full, which lets a further one wait until the kernel asks again.
+pub async fn full_listener() -> (TcpListener, SocketAddr, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(own_address()).expect("a port");
+    let listener = socket.listen(1).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let patience = Duration::from_millis(300);
+    let mut filling = Vec::new();
+    while let Ok(stream) = tokio::time::timeout(patience, TcpStream::connect(address)).await {
+        filling.push(stream.expect("a connection"));
+    }
+    (listener, address, filling)
+}
+
 /// An open watch.
 pub struct Watch(pub Wire);
 
--- a/node/src/lists.rs
+++ b/node/src/lists.rs
@@ -2,7 +2,7 @@
 
 use birchswitch_host::{Host, Upstream};
 use birchswitch_membership::list::ServerList;
-use birchswitch_membership::{Discovery, Told};
+use birchswitch_membership::{Discovery, Patience, Told};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -16,7 +16,8 @@
 ) -> Rc<Discovery> {
     let telling = host.clone();
     let revision = known.map_or(0, |list| list.revision);
-    let discovery = Discovery::new(address, revision, move |told| match told {
+    let patience = if asked { Patience::SERVICE } else { Patience::AGENT };
+    let discovery = Discovery::new(address, patience, revision, move |told| match told {
         Told::List(list) => telling.list(&list),
         Told::Again(error, pause) => {
             telling.log(format_args!("watch: {error}; again in {} ms", pause.as_millis()));
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -29,9 +29,15 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
+use tokio::time::Instant;
 
 /// Clients go on coming for this long after a signal.
 const LEAVE: Duration = Duration::from_millis(500);
+/// After that it accepts none, and what has come on connections is read for this long.
+const LAST_CHANCE: Duration = Duration::from_millis(100);
+/// The platform kills a process that is to end no sooner than so long after what it has taken could be due, but waits for no
+/// deadline that is longer.
+const LONGEST_STAY: Duration = Duration::from_secs(3);
 /// Beyond the longest deadline, for the last answers to be written.
 const LAST_WRITES: Duration = Duration::from_millis(100);
 /// Most that one request may hold: its body and answer, and the buffers of both connections. Measured with bodies of the
@@ -213,17 +219,18 @@
         _ = interrupt.recv() => {}
     }
     host.log(format_args!("leaving"));
+    let end = Instant::now() + LEAVE + LAST_CHANCE + longest.min(LONGEST_STAY);
+    host.end_by(end);
+    listeners.iter().for_each(|l| l.host().end_by(end));
     if let Some(leases) = &leases {
         leases.close();
     }
     phase.send_replace(Phase::Leaving);
     tokio::time::sleep(LEAVE).await;
-    // Last, so that leases could still be given back.
-    if let Some(cluster) = &cluster {
-        cluster.leave();
-    }
     phase.send_replace(Phase::Closing);
     close.send_replace(true);
+    tokio::time::sleep(LAST_CHANCE).await;
+    phase.send_replace(Phase::Finishing);
     // What was taken last is due within the longest deadline.
     let ended = async {
         let _ = served.await;
@@ -231,10 +238,14 @@
             listener.ended().await;
         }
     };
-    let _ = tokio::time::timeout(longest + LAST_WRITES, ended).await;
+    let _ = tokio::time::timeout(longest.min(LONGEST_STAY) + LAST_WRITES, ended).await;
     if let Some(common) = &common {
         common.leave().await;
     }
+    // Last: the others hear no more from whoever has left, and leases and units of accounts had to be given back before.
+    if let Some(cluster) = &cluster {
+        cluster.leave();
+    }
     host.log(format_args!("left"));
     host.close();
     listeners.iter().for_each(thrift::Running::close);
--- a/node/src/operations.rs
+++ b/node/src/operations.rs
@@ -149,7 +149,7 @@
         match (self.host.ready(), *self.phase.borrow()) {
             (true, Phase::Serving) => Ok(format!("serving, list {}", self.host.revision())),
             (false, Phase::Serving) => Err("no list of servers yet".to_owned()),
-            (_, Phase::Leaving | Phase::Closing) => Err("leaving".to_owned()),
+            (_, Phase::Leaving | Phase::Closing | Phase::Finishing) => Err("leaving".to_owned()),
         }
     }
 
--- a/node/tests/attempts.rs
+++ b/node/tests/attempts.rs
@@ -217,7 +217,9 @@
         got = one.request() => (got, &two),
         got = two.request() => (got, &one),
     };
-    client.close().await;
+    // Whoever only ends its sending is told that its request is given up.
+    let told = client.hang_up().await;
+    assert!(told.starts_with("HTTP/1.1 503 "), "{told}");
     wire.answer("503 Service Unavailable", "X-Not-Processed: 1\r\n", "").await;
     assert!(other.untouched().await, "sent again");
     let mut client = node.client().await;
--- /dev/null
+++ b/node/tests/closings.rs
@@ -0,0 +1,185 @@
+//! Connections that close while something is on its way, on either side of the node.
+
+use birchswitch_standin::scripted::*;
+use serde_json::json;
+use std::time::Duration;
+
+/// A close over unread bytes resets a connection: the answer before it has to arrive all the same.
+#[tokio::test]
+async fn an_answer_is_not_reset_away_by_what_follows_the_request() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    for head in ["NONSENSE\r\n\r\n", "POST /unsafe HTTP/1.1\r\nContent-Length: x\r\n\r\n"] {
+        let mut client = node.client().await;
+        client.write_what_is_taken(&format!("{head}{}", "x".repeat(100_000))).await;
+        let answer = client.read().await.expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (400, Some("close")));
+        client.write_what_is_taken(&"y".repeat(10_000)).await; // Taken and thrown away.
+        client.closed().await;
+    }
+}
+
+/// The node closes its side first: who still writes is not reset in the moment of the last answer.
+#[tokio::test]
+async fn the_sending_side_is_closed_first() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let mut client = node.client().await;
+    client.write("NONSENSE\r\n\r\n").await;
+    assert_eq!(client.read().await.expect("an answer").status(), 400);
+    client.closed().await; // Its sending has ended; it still reads.
+    client.write_bytes(b"late").await;
+    client.write_bytes(b"later").await; // After a reset this could not be written.
+}
+
+/// A client that writes one byte at a time is served, and nobody waits for it.
+#[tokio::test]
+async fn a_client_may_write_byte_by_byte() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let mut slow = node.client().await;
+    let text =
+        "POST /unsafe HTTP/1.1\r\nHost: a\r\nX-Request-ID: slow\r\nX-Timeout: 20000m\r\nX-Tenant-Id: one\r\n\
+                Content-Length: 4\r\n\r\nbody";
+    let (last, most) = text.as_bytes().split_last().expect("a text");
+    for byte in most {
+        slow.write_bytes(&[*byte]).await;
+        tokio::task::yield_now().await;
+    }
+    let mut other = node.client().await;
+    other.send("unsafe", "20000m").await;
+    let (mut wire, _) = server.request().await;
+    wire.answer("200 OK", "Connection: close\r\n", "").await;
+    assert_eq!(other.read().await.expect("an answer").status(), 200);
+    slow.write_bytes(&[*last]).await;
+    let (mut wire, request) = server.request().await;
+    assert_eq!((request.header("x-request-id"), request.body.as_slice()), (Some("slow"), &b"body"[..]));
+    wire.answer("200 OK", "", "").await;
+    assert_eq!(slow.read().await.expect("an answer").status(), 200);
+}
+
+/// A connection that breaks before the request's last byte went out: even an unsafe request surely did not run, and goes on to
+/// another server.
+#[tokio::test]
+async fn an_unsafe_request_cut_before_its_end_goes_on() {
+    let (narrow, other) = (Peer::narrow(), Peer::new().await);
+    let discovery = Peer::new().await;
+    let mut settings = settings();
+    settings["limits"]["second_copies"] = json!(false);
+    let node = Node::with(&discovery, settings, 1024).await;
+    let (mut watch, _) = discovery.watch().await;
+    watch.list(1, true, &[member("narrow", narrow.address(), "active")]).await;
+    node.ready().await;
+    // More than the system holds for a server that does not read.
+    let body = "x".repeat(8 << 20);
+    let head = format!(
+        "POST /unsafe HTTP/1.1\r\nHost: a\r\nX-Request-ID: cut\r\nX-Timeout: 20000m\r\nX-Tenant-Id: one\r\n\
+         Content-Length: {}\r\n\r\n",
+        body.len()
+    );
+    let (mut reading, mut writing) = {
+        let (client, address) = (node.client().await, node.address);
+        let _ = address;
+        client.split()
+    };
+    let upload = tokio::spawn(async move {
+        writing.write_bytes(head.as_bytes()).await;
+        writing.write_bytes(body.as_bytes()).await;
+        writing
+    });
+    let mut wire = narrow.accept().await;
+    assert_eq!(wire.first_byte().await, b'P');
+    watch.list(2, false, &[member("other", other.address(), "active")]).await;
+    node.holds(2).await;
+    wire.reset();
+    let (mut wire, request) = other.request().await;
+    assert_eq!(request.header("x-request-id"), Some("cut"));
+    wire.answer("200 OK", "", "served").await;
+    let status = within("an answer", reading.line()).await.expect("an answer");
+    assert!(status.contains("200"), "{status}");
+    drop(within("the upload", upload).await);
+}
+
+/// One byte later it may have run: nothing else is sent, and the client is told so.
+#[tokio::test]
+async fn an_unsafe_request_cut_after_its_end_has_failed() {
+    let (one, two) = (Peer::new().await, Peer::new().await);
+    let (node, _discovery, _watch) = Node::serving(&[("one", &one), ("two", &two)]).await;
+    let mut client = node.client().await;
+    client.send("unsafe", "20000m").await;
+    let ((wire, _), other) = tokio::select! {
+        got = one.request() => (got, &two),
+        got = two.request() => (got, &one),
+    };
+    wire.reset();
+    assert_eq!(client.read().await.expect("an answer").status(), 504);
+    assert!(other.untouched().await, "sent again");
+}
+
+/// An answer without a length ends with its connection; a reset is no end, and what was passed on shows that it is not whole.
+#[tokio::test]
+async fn an_answer_without_a_length_is_not_ended_by_a_reset() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    for (ends, whole) in [(true, true), (false, false)] {
+        let mut client = node.client().await;
+        client.send("unsafe", "20000m").await;
+        let (mut wire, _) = server.request().await;
+        wire.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nso far").await;
+        // What has no length is passed on as it comes, unless it ends at once.
+        assert_eq!(client.first_byte().await, b'H');
+        match ends {
+            true => drop(wire),
+            false => wire.reset(),
+        }
+        let answer = client.read_chunked().await;
+        assert_eq!(answer.is_some_and(|a| a.body == b"so far"), whole, "ended in order: {ends}");
+    }
+}
+
+/// An answer that never ends is broken off once nobody waits for it any more, though some of it comes all the time.
+#[tokio::test]
+async fn an_answer_that_never_ends_is_broken_off() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let mut client = node.client().await;
+    client.send("unsafe", "1000m").await;
+    let (mut wire, _) = server.request().await;
+    wire.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+    let (_reading, mut writing) = wire.split();
+    let endless = tokio::spawn(async move {
+        loop {
+            writing.write_bytes(b"4\r\nmore\r\n").await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    assert!(client.read_chunked().await.is_none(), "it has no end");
+    endless.abort();
+}
+
+/// A pooled connection that its server closes in the moment of its use: a safe request goes on elsewhere, an unsafe one has
+/// one final answer and is not repeated unless it surely never ran.
+#[tokio::test]
+async fn a_pooled_connection_closed_in_the_moment_of_its_use_costs_no_answer() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    for class in ["safe", "unsafe"] {
+        let mut client = node.client().await;
+        client.send(class, "20000m").await;
+        let (mut wire, _) = server.request().await;
+        wire.answer("200 OK", "", "").await;
+        assert_eq!(client.read().await.expect("an answer").status(), 200);
+        // Both reach the node in one moment.
+        node.signal("STOP").await;
+        client.send(class, "20000m").await;
+        drop(wire);
+        node.signal("CONT").await;
+        let answered = async {
+            let (mut wire, _) = server.request().await;
+            wire.answer("200 OK", "Connection: close\r\n", "").await;
+            client.read().await.expect("an answer").status()
+        };
+        // It was seen to be closed before anything was sent over it.
+        assert_eq!(answered.await, 200, "{class}");
+    }
+}
--- a/node/tests/lists.rs
+++ b/node/tests/lists.rs
@@ -188,20 +188,6 @@
     within("service", back).await;
 }
 
-/// A listener whose queue of connections is full, which lets a further one wait until the kernel asks again.
-async fn full_listener() -> (tokio::net::TcpListener, std::net::SocketAddr, Vec<tokio::net::TcpStream>) {
-    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
-    socket.bind(own_address()).expect("a port");
-    let listener = socket.listen(1).expect("a listener");
-    let address = listener.local_addr().expect("an address");
-    let patience = std::time::Duration::from_millis(300);
-    let mut filling = Vec::new();
-    while let Ok(stream) = tokio::time::timeout(patience, tokio::net::TcpStream::connect(address)).await {
-        filling.push(stream.expect("a connection"));
-    }
-    (listener, address, filling)
-}
-
 /// Duplicates are dropped only for a while: a connection that comes up after that carries no repeat.
 #[tokio::test]
 async fn a_repeat_is_kept_back_once_its_window_has_passed() {
--- a/node/tests/rude.rs
+++ b/node/tests/rude.rs
@@ -86,7 +86,9 @@
     leaving.send_as("left", "unsafe", "20000m").await;
     let (mut wire, request) = server.request().await;
     assert_eq!(request.header("x-request-id"), Some("left"));
-    leaving.close().await;
+    // It may have run: so it is told.
+    let told = leaving.hang_up().await;
+    assert!(told.starts_with("HTTP/1.1 504 "), "{told}");
     turned_down(&node, &second.replace("same", "left"), 409).await;
     wire.answer("200 OK", "", "").await;
 }
