--- a/crates/lab/benches/decide.rs
+++ b/crates/lab/benches/decide.rs
@@ -1,4 +1,4 @@
-//! What one request's decisions cost a node: arrival, five probes, the choice, the end; at 70 and at 312 servers.
+//! What one request's decisions cost a node: arrival, five probes, the choice, the end; at 70, 312 and 1,600 servers.
 //!
 //! Each step of time is long enough for prices and shares to be solved again, as for a node of little traffic, or short,
 //! as for one of much.
@@ -77,7 +77,7 @@
 fn decide(c: &mut Criterion) {
     for (traffic, step) in [("little", Duration::from_millis(400)), ("much", Duration::from_millis(2))] {
         let mut group = c.benchmark_group(format!("a request's decisions, {traffic} traffic"));
-        for servers in [70, 312] {
+        for servers in [70, 312, 1600] {
             let mut node = Node::new(servers);
             group.bench_function(BenchmarkId::from_parameter(servers), |b| b.iter(|| node.serve(step)));
         }
--- a/crates/standin/src/scripted/node.rs
+++ b/crates/standin/src/scripted/node.rs
@@ -188,6 +188,11 @@
         peak.trim().trim_end_matches(" kB").parse().expect("a number")
     }
 
+    /// Processor time that it has taken so far.
+    pub fn cpu(&self) -> Duration {
+        process::cpu(self.child.id().expect("it runs"))
+    }
+
     /// Sends it a signal by name, such as `HUP`.
     pub async fn signal(&self, signal: &str) {
         within("kill", process::signal(&self.child, signal)).await.expect("it runs");
--- /dev/null
+++ b/node/tests/capacity.rs
@@ -0,0 +1,78 @@
+//! What a node's memory and processor time grow with. Slow and only of use with nothing beside it:
+//! `cargo test --release -p birchswitch --test capacity -- --ignored --nocapture --test-threads 1`.
+
+use birchswitch_standin::scripted::*;
+use serde_json::{json, Value};
+use std::time::Duration;
+
+/// Backends that a list names.
+const BACKENDS: [usize; 3] = [200, 800, 1600];
+/// Clients that rest.
+const RESTING: [usize; 3] = [0, 100, 400];
+
+fn members(count: usize) -> Vec<Value> {
+    let address = |n: usize| ([127, 1, (n / 250) as u8, (n % 250) as u8 + 1], 9).into();
+    (0..count).map(|n| member(&format!("s-{n:08x}"), address(n), "active")).collect()
+}
+
+/// A node that may hold a thousand descriptors and as much memory as clients at every place want.
+async fn node(discovery: &Peer) -> Node {
+    let config = json!({
+        "name": "n", "listen": "127.0.0.1:0", "discovery": discovery.address().to_string(), "seed": "1f",
+        "limits": {"sockets": 1024, "memory_mb": 192}, "settings": settings(),
+    });
+    Node::told(config, &[]).await
+}
+
+/// Memory and time that whole lists cost, and what a change costs.
+#[tokio::test]
+#[ignore = "measures; nothing is asserted"]
+async fn lists() {
+    for count in BACKENDS {
+        let discovery = Peer::new().await;
+        let node = node(&discovery).await;
+        let (mut watch, _) = discovery.watch().await;
+        let members = members(count);
+        watch.list(1, true, &members).await;
+        node.holds(1).await;
+        let (memory, before) = (node.memory_peak(), node.cpu());
+        const LISTS: u64 = 20;
+        for revision in 2..2 + LISTS {
+            watch.list(revision, true, &members).await;
+            node.holds(revision).await;
+        }
+        let whole = (node.cpu() - before) / LISTS as u32;
+        let before = node.cpu();
+        for revision in 100..100 + LISTS {
+            watch.list(revision, false, &members[..1]).await;
+            node.holds(revision).await;
+        }
+        let change = (node.cpu() - before) / LISTS as u32;
+        let bytes = json!({"revision": 1, "complete": true, "members": members}).to_string().len();
+        println!(
+            "{count} backends: {memory} KiB at the most, a whole list of {bytes} bytes {whole:?}, a change {change:?}"
+        );
+    }
+}
+
+/// Memory that connections cost on which nothing is under way, and time that passes on them.
+#[tokio::test]
+#[ignore = "measures; nothing is asserted"]
+async fn connections() {
+    for count in RESTING {
+        let server = Peer::new().await;
+        let discovery = Peer::new().await;
+        let node = node(&discovery).await;
+        let (mut watch, _) = discovery.watch().await;
+        watch.list(1, true, &[member("s", server.address(), "active")]).await;
+        node.holds(1).await;
+        let mut clients = Vec::new();
+        for _ in 0..count {
+            clients.push(node.client().await);
+        }
+        node.get("/health/live").await;
+        let (memory, before) = (node.memory_peak(), node.cpu());
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        println!("{count} connections: {memory} KiB, {:?} a second", (node.cpu() - before) / 2);
+    }
+}
