Wallet: a node that ends waits for an answer to a last question, so that no grant stays in doubt

A question was out when the node ended with no part in hand: what it was granted nobody took up. The keeper reclaims such a part with the process's next question (decide.rs, orphans); there was none.

--- a/crates/wallet/src/edge/purse.rs
+++ b/crates/wallet/src/edge/purse.rs
@@ -85,6 +85,10 @@
     closing: Vec<u64>,
     /// Nothing more is taken: what still comes is given back.
     closed: bool,
+    /// Questions asked when it closed. What was granted to one of them and never heard of is reclaimed by the next question.
+    asked_open: u64,
+    /// A later one was answered.
+    farewell_heard: bool,
 }
 
 impl Purse {
@@ -113,6 +117,8 @@
             keys: VecDeque::new(),
             closing: Vec::new(),
             closed: false,
+            asked_open: 0,
+            farewell_heard: false,
         }
     }
 
@@ -221,7 +227,7 @@
             let most = self.keys.len().min(KEYS_TOLD);
             self.telling = (self.telling.0 + 1, self.keys.drain(..most).collect());
         }
-        if needs.is_empty() && parts.is_empty() && self.telling.1.is_empty() {
+        if needs.is_empty() && parts.is_empty() && self.telling.1.is_empty() && !self.owes_farewell() {
             return None;
         }
         self.asked += 1;
@@ -235,6 +241,7 @@
             return;
         }
         self.heard = word.token;
+        self.farewell_heard |= self.closed && ask.number > self.asked_open;
         if word.report >= self.telling.0 {
             self.telling.1.clear();
         }
@@ -260,13 +267,19 @@
     /// Takes nothing more from what it holds: all that is not spent is told as given back.
     pub fn close(&mut self) {
         self.closed = true;
+        self.asked_open = self.asked;
         self.accounts.iter_mut().flat_map(|m| &mut m.parts).for_each(|p| p.open = false);
     }
 
     /// Whether there are parts of which the ledger does not know that they are over, or debits that it does not know.
     pub fn holds(&self) -> bool {
         let debits = !self.keys.is_empty() || !self.telling.1.is_empty();
-        debits || self.accounts.iter().any(|m| !m.parts.is_empty())
+        debits || self.owes_farewell() || self.accounts.iter().any(|m| !m.parts.is_empty())
+    }
+
+    /// Whether the keeper may have granted units, in answer to a question from before the close, that nobody knows of here.
+    fn owes_farewell(&self) -> bool {
+        self.closed && self.asked_open > 0 && !self.farewell_heard
     }
 
     /// Whether a request was turned away for want of units since the last question: there is reason to ask at once.
@@ -378,6 +391,24 @@
         assert!(order(&mut p, 4, 0).is_ok() && order(&mut p, 4, 0).is_err());
     }
 
+    /// A question is out when the node ends: what it is granted would be in doubt if no later question were answered.
+    #[test]
+    fn a_grant_under_way_at_the_close_is_waited_for() {
+        let mut p = purse();
+        assert!(!p.holds(), "nothing was ever asked");
+        let _ = order(&mut p, 0, 0);
+        let out = p.ask(ms(0)).expect("a question");
+        p.close();
+        assert!(p.holds(), "its answer may hold a part");
+        let farewell = p.ask(ms(1)).expect("a last question");
+        let part = AccountWord { account: "t".into(), part: Some((1, 9)), ..AccountWord::default() };
+        p.apply(ms(0), &out, &Word { token: 1, report: 0, accounts: vec![part] });
+        assert!(p.holds(), "an answer to an earlier question says nothing");
+        p.apply(ms(1), &farewell, &Word { token: 1, report: 0, accounts: Vec::new() });
+        assert!(!p.holds());
+        assert_eq!(p.ask(ms(2)), None);
+    }
+
     #[test]
     fn keys_are_told_until_they_are_in_the_ledger_and_once() {
         let mut p = purse();
--- a/node/tests/wallet.rs
+++ b/node/tests/wallet.rs
@@ -255,8 +255,8 @@
     });
 }
 
-/// The same by whoever keeps the accounts, with requests in hand that go on after it has said that it ends: it gives back what
-/// they held to the next keeper, of which it has to hear.
+/// The same by whoever keeps the accounts, with requests in hand that go on after it was told to end: it gives back what they held
+/// to the next keeper, of which it has to hear.
 #[test]
 fn a_keeper_that_ends_with_requests_in_hand_leaves_nothing_in_doubt() {
     on_a_set(async {
