--- a/node/tests/silence.rs
+++ b/node/tests/silence.rs
@@ -45,6 +45,24 @@
     }
 }
 
+/// The clock runs from the last line heard, be it an empty one: a watch that has been well for long is given up as soon.
+#[tokio::test]
+async fn a_watch_that_falls_silent_after_13_s() {
+    let server = Peer::new().await;
+    let (node, discovery, mut watch) = Node::serving(&[("s", &server)]).await;
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(13) {
+        watch.line("").await;
+        tokio::time::sleep(Duration::from_secs(2)).await;
+    }
+    assert!(discovery.untouched().await, "it is well, and was opened anew");
+    let silent = Instant::now();
+    watch.0.closed().await;
+    let _watch = drops_all(&node, &discovery, 2).await;
+    assert!(silent.elapsed() < TOLD, "told after {:?}", silent.elapsed());
+    is_refused(&node, &server).await;
+}
+
 #[tokio::test]
 async fn a_watch_that_falls_silent_in_the_middle_of_a_line() {
     for mode in MODES {
