--- a/node/tests/closings.rs
+++ b/node/tests/closings.rs
@@ -32,6 +32,27 @@
     client.write_bytes(b"later").await; // After a reset this could not be written.
 }
 
+/// The same after an answer that the node itself makes the last of its connection.
+#[tokio::test]
+async fn the_sending_side_is_closed_first_after_a_last_answer() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let mut client = node.client().await;
+    client
+        .write(
+            "POST /unsafe HTTP/1.1\r\nHost: a\r\nX-Request-ID: last\r\nX-Timeout: 20000m\r\nX-Tenant-Id: one\r\n\
+             Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        )
+        .await;
+    let (mut wire, _) = server.request().await;
+    wire.answer("200 OK", "", "").await;
+    let answer = client.read().await.expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    client.closed().await;
+    client.write_bytes(b"late").await;
+    client.write_bytes(b"later").await;
+}
+
 /// A client that writes one byte at a time is served, and nobody waits for it.
 #[tokio::test]
 async fn a_client_may_write_byte_by_byte() {
