--- a/crates/http/src/front/connection.rs
+++ b/crates/http/src/front/connection.rs
@@ -12,7 +12,9 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::convert::Infallible;
+use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -95,14 +97,13 @@
         if chunked {
             client.set_unread();
         }
-        let response = match client.problem.get() {
+        let mut response = match client.problem.get() {
             Some((status, why)) if request.method() == TURNED_DOWN => turned_down(status, why),
             _ => self.answer(client, request).await,
         };
         // A client that is told to close goes elsewhere next. Where places run short each is: many ask once and keep their
         // connection, and until those may be closed nobody else would get in. But what was read is answered.
         let unwanted = *self.phase.borrow() > Phase::Serving || self.scarce();
-        let mut response = response;
         if chunked || unwanted && !client.more_is_owed() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
@@ -115,9 +116,8 @@
     /// Closes the sending side and reads what still comes, up to a bound: closing on unread bytes would reset the
     /// connection, and might take the last answer from the client. Nothing of it is sent on.
     async fn linger(&self, client: &Client) {
-        use socket2::SockRef;
         if client.is_last() || !self.scarce() {
-            let _ = SockRef::from(&*client.socket).shutdown(std::net::Shutdown::Write);
+            let _ = SockRef::from(&*client.socket).shutdown(Shutdown::Write);
             let _ = timeout(LINGER, discard(&client.socket)).await;
         }
     }
--- a/crates/standin/src/scripted/node.rs
+++ b/crates/standin/src/scripted/node.rs
@@ -101,8 +101,17 @@
 
     /// The same under other settings.
     pub async fn serving_under(settings: Value, servers: &[(&str, &Peer)]) -> (Self, Peer, Watch) {
+        Node::serving_within(1024, settings, servers).await
+    }
+
+    /// The same with so many descriptors.
+    pub async fn serving_within(
+        sockets: u32,
+        settings: Value,
+        servers: &[(&str, &Peer)],
+    ) -> (Self, Peer, Watch) {
         let discovery = Peer::new().await;
-        let node = Node::with(&discovery, settings, 1024).await;
+        let node = Node::with(&discovery, settings, sockets).await;
         let (mut watch, _) = discovery.watch().await;
         let members: Vec<Value> = servers.iter().map(|s| member(s.0, s.1.address(), "active")).collect();
         watch.list(1, true, &members).await;
--- a/node/tests/closings.rs
+++ b/node/tests/closings.rs
@@ -84,13 +84,9 @@
 #[tokio::test]
 async fn an_unsafe_request_cut_before_its_end_goes_on() {
     let (narrow, other) = (Peer::narrow(), Peer::new().await);
-    let discovery = Peer::new().await;
     let mut settings = settings();
     settings["limits"]["second_copies"] = json!(false);
-    let node = Node::with(&discovery, settings, 1024).await;
-    let (mut watch, _) = discovery.watch().await;
-    watch.list(1, true, &[member("narrow", narrow.address(), "active")]).await;
-    node.ready().await;
+    let (node, _discovery, mut watch) = Node::serving_under(settings, &[("narrow", &narrow)]).await;
     // More than the system holds for a server that does not read.
     let body = "x".repeat(8 << 20);
     let head = format!(
@@ -98,11 +94,7 @@
          Content-Length: {}\r\n\r\n",
         body.len()
     );
-    let (mut reading, mut writing) = {
-        let (client, address) = (node.client().await, node.address);
-        let _ = address;
-        client.split()
-    };
+    let (mut reading, mut writing) = node.client().await.split();
     let upload = tokio::spawn(async move {
         writing.write_bytes(head.as_bytes()).await;
         writing.write_bytes(body.as_bytes()).await;
--- a/node/tests/departures.rs
+++ b/node/tests/departures.rs
@@ -128,11 +128,7 @@
 #[tokio::test]
 async fn a_client_that_left_the_queue_is_not_served() {
     let server = Peer::new().await;
-    let discovery = Peer::new().await;
-    let node = Node::with(&discovery, settings(), 64).await;
-    let (mut watch, _) = discovery.watch().await;
-    watch.list(1, true, &[member("s", server.address(), "active")]).await;
-    node.ready().await;
+    let (node, _discovery, _watch) = Node::serving_within(64, settings(), &[("s", &server)]).await;
     let mut busy = Vec::new();
     for _ in 0..16 {
         let mut client = node.client().await;
@@ -171,13 +167,9 @@
 #[tokio::test]
 async fn requests_whose_time_passed_behind_another_are_answered_at_once() {
     let server = Peer::new().await;
-    let discovery = Peer::new().await;
     let mut settings = settings();
     settings["limits"]["try_limit"] = json!(1);
-    let node = Node::with(&discovery, settings, 1024).await;
-    let (mut watch, _) = discovery.watch().await;
-    watch.list(1, true, &[member("s", server.address(), "active")]).await;
-    node.ready().await;
+    let (node, _discovery, _watch) = Node::serving_under(settings, &[("s", &server)]).await;
     let mut client = node.client().await;
     let all = ["a", "b", "c", "d"].map(|id| request(id).replace("20000m", "500m")).concat();
     let began = std::time::Instant::now();
--- a/node/tests/silence.rs
+++ b/node/tests/silence.rs
@@ -179,11 +179,7 @@
 #[tokio::test]
 async fn idle_clients_leave_room_for_calls_to_discovery() {
     let server = Peer::new().await;
-    let discovery = Peer::new().await;
-    let node = Node::with(&discovery, settings(), 64).await;
-    let (mut watch, _) = discovery.watch().await;
-    watch.list(1, true, &[member("s", server.address(), "active")]).await;
-    node.ready().await;
+    let (node, discovery, watch) = Node::serving_within(64, settings(), &[("s", &server)]).await;
     drop(watch);
     let mut idle = Vec::new();
     for _ in 0..120 {
