One word for a node that ends, and one way to see what was sent over a late connection

Found on reading the change again: the refusal at the end stood in the gate and in the front; what a late connection brought was read in four tests by the same lines; end_by collected twice. Behaviour and assertions as before; clippy, 65 tests of the touched packages.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -152,11 +152,9 @@
 
     /// Every request that is open is due by this time.
     pub fn end_by(&mut self, end: Time) {
-        let open: Vec<_> = self.ledger.iter().filter(|(_, e)| e.open()).collect();
-        let late = open.into_iter().filter(|(_, e)| e.last > end).map(|(id, e)| (*id, e.due.min(end)));
-        for (request, due) in late.collect::<Vec<_>>() {
-            self.set_due(request, due, end);
-        }
+        let late = self.ledger.iter().filter(|(_, entry)| entry.open() && entry.last > end);
+        let late: Vec<_> = late.map(|(request, entry)| (*request, entry.due.min(end))).collect();
+        late.into_iter().for_each(|(request, due)| self.set_due(request, due, end));
     }
 
     /// The client left: no answer is owed any more. After the answer this says nothing new.
--- a/crates/http/src/front/answer.rs
+++ b/crates/http/src/front/answer.rs
@@ -4,7 +4,7 @@
 use super::order::{end_to_end, Order};
 use super::{Front, Phase};
 use crate::body::{self, BodyError, First, Payload, Reply, Upload};
-use crate::gate::Problem;
+use crate::gate::{Problem, ENDING};
 use crate::upstream::HttpUpstream;
 use birchswitch_engine::{Answer, Incoming};
 use birchswitch_host::{Request as Taking, Taken};
@@ -31,9 +31,6 @@
 /// How often it is looked whether an upload still moves.
 const UPLOAD_LOOK: Duration = Duration::from_millis(500);
 
-/// Why a request whose last byte has not come when the node ends is not waited for.
-const ENDING: &str = "this node ends: trying again is harmless";
-
 impl Front {
     /// Answers a request.
     pub(super) async fn answer(&self, client: &Client, request: Request<Body>) -> Response<Reply> {
@@ -111,7 +108,7 @@
                 BodyError::Silent => (StatusCode::REQUEST_TIMEOUT, "the body took too long"),
                 _ => (StatusCode::BAD_REQUEST, "the body is not whole"),
             }),
-            _ = phase.wait_for(|p| *p == Phase::Finishing) => Err((StatusCode::SERVICE_UNAVAILABLE, ENDING)),
+            _ = phase.wait_for(|p| *p == Phase::Finishing) => Err(ENDING),
         }
     }
 }
--- a/crates/http/src/gate/mod.rs
+++ b/crates/http/src/gate/mod.rs
@@ -28,8 +28,8 @@
 const READ_MORE: usize = 32 << 10;
 /// Most that is read behind a message in hand.
 const MOST_AHEAD: usize = 16 << 10;
-/// What a head is told that was not whole when the node ended.
-const ENDING: Problem = (StatusCode::SERVICE_UNAVAILABLE, "this node ends: trying again is harmless");
+/// What the client of a request is told that was not whole when the node ended.
+pub const ENDING: Problem = (StatusCode::SERVICE_UNAVAILABLE, "this node ends: trying again is harmless");
 
 /// Why a message is turned down.
 pub type Problem = (StatusCode, &'static str);
--- a/crates/standin/src/scripted/wire.rs
+++ b/crates/standin/src/scripted/wire.rs
@@ -383,6 +383,20 @@
     (listener, address, filling)
 }
 
+/// Takes the connections that fill such a listener's queue, so that those that wait come up.
+pub async fn let_in(listener: &TcpListener, filling: &[TcpStream]) {
+    for _ in filling {
+        within("a connection", listener.accept()).await.expect("a connection");
+    }
+}
+
+/// All that the other side sends over a connection until it closes.
+pub async fn all_sent(mut stream: TcpStream) -> String {
+    let mut sent = Vec::new();
+    let _ = within("its end", stream.read_to_end(&mut sent)).await;
+    String::from_utf8_lossy(&sent).into_owned()
+}
+
 /// An open watch.
 pub struct Watch(pub Wire);
 
--- a/node/tests/departures.rs
+++ b/node/tests/departures.rs
@@ -114,14 +114,11 @@
     client.write(&[request("a"), request("b")].concat()).await;
     node.get("/health/live").await; // The request has been read, and its connection is under way.
     gone(client).await;
-    for _ in 0..filling.len() {
-        within("a connection", listener.accept()).await.expect("a connection");
-    }
-    let (mut stream, _) = within("the node's connection", listener.accept()).await.expect("a connection");
+    let_in(&listener, &filling).await;
+    let (stream, _) = within("the node's connection", listener.accept()).await.expect("a connection");
     drop(node);
-    let mut read = Vec::new();
-    let _ = within("its end", tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut read)).await;
-    assert!(read.is_empty(), "sent for nobody: {:?}", String::from_utf8_lossy(&read));
+    let sent = all_sent(stream).await;
+    assert!(sent.is_empty(), "sent for nobody: {sent:?}");
 }
 
 /// A client waits for a place, sends its request and leaves before it gets one.
--- a/node/tests/lists.rs
+++ b/node/tests/lists.rs
@@ -76,18 +76,14 @@
     node.get("/health/live").await; // The request has been read, and its connection is under way.
     watch.list(2, false, &[member("s", address, "leaving")]).await;
     node.holds(2).await;
-    for _ in 0..filling.len() {
-        within("a connection", listener.accept()).await.expect("a connection");
-    }
+    let_in(&listener, &filling).await;
     let answer = client.read().await.expect("an answer");
     assert_eq!(answer.status(), 503);
     let (stream, _) = within("the node's connection", listener.accept()).await.expect("a connection");
     drop(client);
     drop(node);
-    let mut read = Vec::new();
-    let mut stream = stream;
-    let _ = within("its end", tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut read)).await;
-    assert!(read.is_empty(), "sent to a draining server: {:?}", String::from_utf8_lossy(&read));
+    let sent = all_sent(stream).await;
+    assert!(sent.is_empty(), "sent to a draining server: {sent:?}");
 }
 
 /// Word of a move that comes while connecting: what listens at the old address is not that server any more.
@@ -105,10 +101,8 @@
     node.get("/health/live").await; // The request has been read, and its connection is under way.
     watch.list(2, false, &[member("s", new.address(), "active")]).await;
     node.holds(2).await;
-    for _ in 0..filling.len() {
-        within("a connection", listener.accept()).await.expect("a connection");
-    }
-    let (mut old, _) = within("the node's connection", listener.accept()).await.expect("a connection");
+    let_in(&listener, &filling).await;
+    let (old, _) = within("the node's connection", listener.accept()).await.expect("a connection");
     // Whether it goes to the new address or back to the client is the balancer's to say.
     let answer = tokio::select! {
         answer = client.read() => answer,
@@ -119,9 +113,8 @@
     };
     assert!([200, 503].contains(&answer.expect("an answer").status()));
     drop(node);
-    let mut read = Vec::new();
-    let _ = within("its end", tokio::io::AsyncReadExt::read_to_end(&mut old, &mut read)).await;
-    assert!(read.is_empty(), "sent to the old address: {:?}", String::from_utf8_lossy(&read));
+    let sent = all_sent(old).await;
+    assert!(sent.is_empty(), "sent to the old address: {sent:?}");
 }
 
 /// Figures may be well-formed and absurd: every request still gets an answer, and sane ones bring service back.
@@ -208,16 +201,13 @@
     node.holds(2).await;
     wire.answer("500 Internal Server Error", "", "").await;
     tokio::time::sleep(window).await;
-    for _ in 0..filling.len() {
-        within("a connection", listener.accept()).await.expect("a connection");
-    }
+    let_in(&listener, &filling).await;
     assert_eq!(client.read().await.expect("an answer").status(), 504);
-    let (mut stream, _) = within("the node's connection", listener.accept()).await.expect("a connection");
+    let (stream, _) = within("the node's connection", listener.accept()).await.expect("a connection");
     drop(client);
     drop(node);
-    let mut read = Vec::new();
-    let _ = within("its end", tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut read)).await;
-    assert!(read.is_empty(), "sent after the window: {:?}", String::from_utf8_lossy(&read));
+    let sent = all_sent(stream).await;
+    assert!(sent.is_empty(), "sent after the window: {sent:?}");
 }
 
 /// A line that makes no sense is logged and changes nothing; what came after the last good one is asked for anew.
