--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -12,6 +12,7 @@
 mod door;
 mod health;
 pub mod pool;
+pub mod socket;
 mod tickets;
 mod witness;
 
--- a/crates/host/src/pool.rs
+++ b/crates/host/src/pool.rs
@@ -5,10 +5,8 @@
 use birchswitch_membership::Target;
 use finchvale::{Outcome, ServerId, ServerState};
 use rustc_hash::FxHashMap;
-use socket2::SockRef;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -215,9 +213,3 @@
     const EMFILE: i32 = 24;
     matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
 }
-
-/// Whether a socket is open and nothing has come on it. Asks the system itself: what the runtime knows may be older.
-pub fn quiet(socket: &TcpStream) -> bool {
-    let mut byte = [MaybeUninit::uninit()];
-    SockRef::from(socket).peek(&mut byte).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
-}
--- a/crates/http/src/front/client.rs
+++ b/crates/http/src/front/client.rs
@@ -1,12 +1,11 @@
 //! One client's connection: where it stands, what is owed on it, and what its gate may read.
 
 use crate::gate::{self, Guard, Head, Next, Problem, Reading};
-use birchswitch_host::pool::quiet;
+use birchswitch_host::socket::{self, quiet};
 use hyper::StatusCode;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -24,8 +23,6 @@
 const FIRST_LEAST: Duration = Duration::from_millis(10);
 /// So has one that has begun a head.
 const HEAD_LEAST: Duration = Duration::from_millis(200);
-/// How often it is looked whether a client has gone whose connection is not read meanwhile.
-const LOOK: Duration = Duration::from_millis(25);
 
 /// A request that takes the place of one that was turned down, in the row of answers on its connection. No client can
 /// send one of this method.
@@ -49,8 +46,8 @@
     ahead: Cell<usize>,
     /// The gate does not read on, so that it can't see the connection's end.
     unread: Cell<bool>,
-    /// It is to close, and nothing had come of a further request when that was decided.
-    was_silent: Cell<bool>,
+    /// It is to close, and nothing had come of a further request when that was decided: where it stood, and since when.
+    silent_before: Cell<Option<(Stage, Instant)>>,
     /// The client has ended its sending.
     gone: Cell<bool>,
     leaving: Notify,
@@ -92,7 +89,7 @@
             last_byte: Cell::new(None),
             ahead: Cell::new(0),
             unread: Cell::new(false),
-            was_silent: Cell::new(false),
+            silent_before: Cell::new(None),
             gone: Cell::new(false),
             leaving: Notify::new(),
             last: Cell::new(false),
@@ -114,8 +111,8 @@
         self.since.get()
     }
 
-    fn age(&self) -> Duration {
-        self.since.get().elapsed()
+    fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.since.get())
     }
 
     /// Some of the answer under way was taken.
@@ -162,22 +159,37 @@
             Stage::Idle => IDLE_LEAST,
             Stage::Busy | Stage::Passing | Stage::Leaving => return false,
         };
-        self.age() >= least && quiet(&self.socket)
+        self.age(Instant::now()) >= least && quiet(&self.socket)
     }
 
     /// Has the connection closed.
     pub(super) fn leave(&self) {
-        self.was_silent.set(matches!(self.stage.get(), Stage::New | Stage::Idle));
+        let stage = self.stage.get();
+        let silent = matches!(stage, Stage::New | Stage::Idle);
+        self.silent_before.set(silent.then(|| (stage, self.since.get())));
         self.enter(Stage::Leaving);
         self.wake.notify_one();
     }
 
+    /// Whether it is to close now. Something may have come since that was decided: then it stays, and is served.
+    pub(super) fn closes(&self) -> bool {
+        if self.stage.get() != Stage::Leaving {
+            return false;
+        }
+        if let Some((stage, since)) = self.silent_before.get().filter(|_| !quiet(&self.socket)) {
+            self.stage.set(stage);
+            self.since.set(since);
+            return false;
+        }
+        true
+    }
+
     /// Ends what has taken too long.
-    pub(super) fn sweep(&self) {
-        let (stage, age) = (self.stage.get(), self.age());
-        match stage {
+    pub(super) fn sweep(&self, now: Instant) {
+        let age = self.age(now);
+        match self.stage.get() {
             // Never one on which a request has come that was not read yet.
-            Stage::New if age >= FIRST => self.leave(),
+            Stage::New if age >= FIRST && quiet(&self.socket) => self.leave(),
             Stage::Passing if age >= TAKING => self.leave(),
             Stage::Idle if age >= IDLE && quiet(&self.socket) => self.leave(),
             Stage::Head if age >= FIRST => {
@@ -202,7 +214,7 @@
 
     /// Whether the client has ended its sending, as far as is known at once.
     pub(super) async fn has_gone(&self) -> bool {
-        self.gone.get() || read_closed(&self.socket).await
+        self.gone.get() || socket::read_closed(&self.socket).await
     }
 
     /// Waits until the client has ended its sending.
@@ -210,11 +222,7 @@
         while !self.gone.get() {
             tokio::select! {
                 () = self.leaving.notified() => {}
-                () = tokio::time::sleep(LOOK), if self.unread.get() => {
-                    if read_closed(&self.socket).await {
-                        return;
-                    }
-                }
+                () = socket::left(&self.socket), if self.unread.get() => return,
             }
         }
     }
@@ -227,15 +235,6 @@
     }
 }
 
-/// Whether the system has told that the other side ended its sending, be there unread bytes before that or not.
-async fn read_closed(socket: &TcpStream) -> bool {
-    tokio::select! {
-        biased;
-        ready = socket.ready(Interest::READABLE) => ready.is_ok_and(|r| r.is_read_closed()),
-        () = std::future::ready(()) => false,
-    }
-}
-
 impl Guard for Rc<Client> {
     const BETWEEN: Next = Next::Head;
 
@@ -253,7 +252,7 @@
             Stage::New => self.stage.set(Stage::Head),
             Stage::Idle => self.enter(Stage::Head),
             // It had said nothing, and does in the moment in which it is to close.
-            Stage::Leaving if self.was_silent.get() => self.enter(Stage::Head),
+            Stage::Leaving if self.silent_before.get().is_some() => self.enter(Stage::Head),
             Stage::Late => return Err((StatusCode::REQUEST_TIMEOUT, "the head took too long")),
             Stage::Head | Stage::Busy | Stage::Passing | Stage::Leaving => {}
         }
@@ -289,3 +288,6 @@
         self.leaving.notify_one();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/http/src/front/connection.rs
+++ b/crates/http/src/front/connection.rs
@@ -6,6 +6,7 @@
 use super::{Front, Phase};
 use crate::gate::Gate;
 use crate::upstream::MOST_BUFFERED;
+use birchswitch_host::socket;
 use hyper::body::Incoming as Body;
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
@@ -24,10 +25,6 @@
 
 /// For what is still to be written on a connection that ends.
 const LAST_WRITES: Duration = Duration::from_secs(1);
-/// For what is still to be read and thrown away.
-const LINGER: Duration = Duration::from_millis(300);
-/// Most that is thrown away.
-const MOST_LINGERING: usize = 256 << 10;
 
 impl Front {
     pub(super) fn connected(self: Rc<Self>, stream: TcpStream, permit: OwnedSemaphorePermit) {
@@ -73,7 +70,7 @@
             if known >= Phase::Closing && client.rests() {
                 connection.as_mut().graceful_shutdown();
             }
-            if client.stage() == Stage::Leaving {
+            if client.closes() {
                 connection.as_mut().graceful_shutdown();
                 // Its last answer may still be on its way. A request that was read meanwhile is answered.
                 while timeout(LAST_WRITES, connection.as_mut()).await.is_err()
@@ -113,25 +110,11 @@
         Ok(response.map(|body| Sent::new(body, client.clone())))
     }
 
-    /// Closes the sending side and reads what still comes, up to a bound: closing on unread bytes would reset the
-    /// connection, and might take the last answer from the client. Nothing of it is sent on.
+    /// Closes the sending side and reads what still comes. Nothing of it is sent on.
     async fn linger(&self, client: &Client) {
         if client.is_last() || !self.scarce() {
             let _ = SockRef::from(&*client.socket).shutdown(Shutdown::Write);
-            let _ = timeout(LINGER, discard(&client.socket)).await;
-        }
-    }
-}
-
-/// Reads what still comes, up to a bound.
-async fn discard(socket: &TcpStream) {
-    let (mut buffer, mut read) = ([0; 4096], 0);
-    while read < MOST_LINGERING && socket.readable().await.is_ok() {
-        match socket.try_read(&mut buffer) {
-            Ok(0) => return,
-            Ok(n) => read += n,
-            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
-            Err(_) => return,
+            socket::linger(&client.socket).await;
         }
     }
 }
--- a/crates/http/src/front/mod.rs
+++ b/crates/http/src/front/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::body::Room;
 use crate::upstream::HttpUpstream;
+use birchswitch_host::socket::queued;
 use birchswitch_host::Host;
 use birchswitch_site::Names;
 use client::Client;
@@ -20,10 +21,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// How often connections are looked at for what has taken too long.
 const SWEEP: Duration = Duration::from_millis(100);
@@ -93,7 +94,8 @@
             let mut every = tokio::time::interval(SWEEP);
             loop {
                 every.tick().await;
-                sweeping.clients.borrow().values().for_each(|c| c.sweep());
+                let now = Instant::now();
+                sweeping.clients.borrow().values().for_each(|c| c.sweep(now));
             }
         });
         let mut phase = self.phase.clone();
@@ -116,22 +118,12 @@
                 () = &mut closing => break,
             }
         }
-        self.accept_rest(listener).await;
-        let _ = self.slots.acquire_many(self.most).await;
-        sweeper.abort();
-    }
-
-    /// Takes what the system has queued by now, whatever the runtime knows of that, and closes the listener.
-    async fn accept_rest(self: &Rc<Self>, listener: TcpListener) {
-        let Ok(listener) = listener.into_std() else { return };
-        loop {
+        for stream in queued(listener) {
             let permit = self.slot().await;
-            let Ok((stream, _)) = listener.accept() else { return };
-            let taken = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-            if let Ok(stream) = taken {
-                self.clone().connected(stream, permit);
-            }
+            self.clone().connected(stream, permit);
         }
+        let _ = self.slots.acquire_many(self.most).await;
+        sweeper.abort();
     }
 
     /// Room for one more connection. Where there is none, some that have nothing to say are closed, so that they don't
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -3,7 +3,8 @@
 use crate::body::{Coming, First, Outgoing, Payload, Reply, Room};
 use crate::gate::{self, Gate, Guard, Head, Next, Problem};
 use birchswitch_engine::{Clearance, Ended};
-use birchswitch_host::pool::{self, quiet, Fresh, Pool, Pooled, Server};
+use birchswitch_host::pool::{self, Fresh, Pool, Pooled, Server};
+use birchswitch_host::socket::quiet;
 use birchswitch_host::{Figures, ProbeTicket, Ticket, Upstream};
 use birchswitch_membership::Target;
 use birchswitch_site::{Field, Names};
--- a/crates/thrift-proxy/src/front.rs
+++ b/crates/thrift-proxy/src/front.rs
@@ -4,7 +4,7 @@
 use crate::settings::{Compiled, CompiledMethod};
 use crate::upstream::{Call, ThriftUpstream};
 use birchswitch_engine::{Answer, Incoming};
-use birchswitch_host::pool::quiet;
+use birchswitch_host::socket::{left, linger, queued, quiet};
 use birchswitch_host::{key_hash, Host, Request};
 use birchswitch_site::Names;
 use birchswitch_thrift::detect::Dialect;
@@ -161,7 +161,10 @@
                 _ = closing.wait_for(|c| *c) => break,
             }
         }
-        drop(listener);
+        for stream in queued(listener) {
+            let permit = self.slot().await;
+            self.clone().connected(stream, permit);
+        }
         let _ = self.slots.acquire_many(self.settings.settings.connections).await;
     }
 
@@ -208,6 +211,7 @@
                 while calls.join_next().await.is_some() {}
                 drop(replies);
                 let _ = writer.await;
+                linger(reading.as_ref()).await;
             }
             // The end of a call's task is its client's leaving.
             End::Gone => {
@@ -228,15 +232,18 @@
         let mut messages = Messages::new(self.settings.clients, self.settings.limits);
         let in_hand = Rc::new(InHand::default());
         let (mut number, mut under_way) = (0u64, None);
+        // What is whole came with the latest bytes at the latest.
+        let mut came = Instant::now();
         loop {
             let bytes = match messages.message() {
                 Ok(Some(bytes)) => bytes,
                 Ok(None) => {
                     under_way = (!messages.is_empty()).then(|| under_way.unwrap_or_else(Instant::now));
-                    match self.more(reading, &mut messages, client, under_way).await {
-                        Some(end) => return end,
-                        None => continue,
+                    if let Some(end) = self.more(reading, &mut messages, client, under_way).await {
+                        return end;
                     }
+                    came = Instant::now();
+                    continue;
                 }
                 Err(_) => {
                     if let Some(reply) = self.spoilt(&messages) {
@@ -260,25 +267,18 @@
                     }
                 }
             };
-            let arrived = Instant::now();
             let (oneway, seqid) = (order.oneway, header.seqid);
-            // Under a sequence id that is open nobody could tell whose a reply is; and what is behind a oneway may rest
-            // on it. Nothing more is read meanwhile.
-            while in_hand.oneway.get() || (!oneway && in_hand.seqids.borrow().contains(&seqid)) {
-                in_hand.changed.notified().await;
-            }
-            while calls.len() >= self.settings.settings.pipeline as usize {
-                calls.join_next().await;
-            }
-            while calls.try_join_next().is_some() {}
-            // As much again for the answer.
-            let size = (bytes.len() as u32).div_ceil(1024) * 2;
-            let Ok(room) = self.memory.clone().acquire_many_owned(size).await else { return End::Gone };
+            // Nothing is read meanwhile.
+            let room = tokio::select! {
+                room = self.turn(&in_hand, calls, (oneway, seqid), bytes.len()) => room,
+                () = left(reading.as_ref()) => None,
+            };
+            let Some(room) = room else { return End::Gone };
             in_hand.begin(oneway, seqid);
             client.silent.set(None);
             number += 1;
             let name = [client.number.to_be_bytes(), number.to_be_bytes()].concat();
-            let taking = Taking { dialect, bytes: bytes.clone(), order, name: name.into(), arrived };
+            let taking = Taking { dialect, bytes: bytes.clone(), order, name: name.into(), arrived: came };
             let (me, client) = (self.clone(), client.clone());
             let (in_hand, replies) = (in_hand.clone(), replies.clone());
             calls.spawn_local(async move {
@@ -294,6 +294,27 @@
         }
     }
 
+    /// Waits until a call may be taken up: none is in hand that it could be mistaken for, and there is room.
+    async fn turn(
+        &self,
+        in_hand: &InHand,
+        calls: &mut JoinSet<()>,
+        (oneway, seqid): (bool, i32),
+        length: usize,
+    ) -> Option<OwnedSemaphorePermit> {
+        // Under a sequence id that is open nobody could tell whose a reply is; and what is behind a oneway may rest on it.
+        while in_hand.oneway.get() || (!oneway && in_hand.seqids.borrow().contains(&seqid)) {
+            in_hand.changed.notified().await;
+        }
+        while calls.len() >= self.settings.settings.pipeline as usize {
+            calls.join_next().await;
+        }
+        while calls.try_join_next().is_some() {}
+        // As much again for the answer.
+        let size = (length as u32).div_ceil(1024) * 2;
+        self.memory.clone().acquire_many_owned(size).await.ok()
+    }
+
     /// Reads more. A message that is under way since some time has to be whole soon.
     async fn more(
         &self,
@@ -308,7 +329,12 @@
             // A call may have come with the connection, or cross the closing.
             sleep(LAST_CHANCE).await;
         });
+        let (mut overdue, mut ending) = (false, false);
         loop {
+            // Never one on which a call has come that was not read yet.
+            if (overdue || ending) && (under_way.is_some() || quiet(reading.as_ref())) {
+                return Some(End::Finish);
+            }
             // While calls are in hand nobody has to say anything.
             let limit = match (under_way, client.silent.get()) {
                 (Some(since), _) => Some(since + WHOLE),
@@ -331,10 +357,10 @@
                 () = client.leave.notified() => if under_way.is_none() && quiet(reading.as_ref()) {
                     return Some(End::Finish);
                 },
-                () = sleep_until(limit.unwrap_or_else(Instant::now)), if limit.is_some() => {
-                    return Some(End::Finish);
+                () = sleep_until(limit.unwrap_or_else(Instant::now)), if limit.is_some() && !overdue => {
+                    overdue = true;
                 }
-                () = &mut closed, if under_way.is_none() => return Some(End::Finish),
+                () = &mut closed, if under_way.is_none() && !ending => ending = true,
                 // The last answer begins the silence.
                 () = self.answered(client), if limit.is_none() => {}
             }
--- a/crates/thrift-proxy/src/upstream.rs
+++ b/crates/thrift-proxy/src/upstream.rs
@@ -3,7 +3,8 @@
 use crate::messages::Messages;
 use crate::settings::Compiled;
 use birchswitch_engine::{Clearance, Ended};
-use birchswitch_host::pool::{quiet, Fresh, Limits, Pool, Pooled, Server};
+use birchswitch_host::pool::{Fresh, Limits, Pool, Pooled, Server};
+use birchswitch_host::socket::quiet;
 use birchswitch_host::{Figures, ProbeTicket, Ticket, Upstream};
 use birchswitch_membership::Target;
 use birchswitch_thrift::walk::{self, Header, Paths, Value};
--- a/node/tests/closings.rs
+++ b/node/tests/closings.rs
@@ -196,3 +196,33 @@
         assert_eq!(answered.await, 200, "{class}");
     }
 }
+
+/// The time for silence ends and a request comes, both while the node stands still: on a new connection and on one that was used.
+#[tokio::test]
+async fn a_request_in_the_moment_of_the_close_for_silence_is_answered() {
+    let server = Peer::new().await;
+    let (node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
+    let mut used = node.client().await;
+    used.send("safe", "20000m").await;
+    let (mut wire, _) = server.request().await;
+    wire.answer("200 OK", "Connection: close\r\n", "").await;
+    assert_eq!(used.read().await.expect("an answer").status(), 200);
+    let new = node.client().await;
+    // Whoever connected before has been taken by now.
+    assert_eq!(node.get("/health/live").await.status(), 200);
+    node.signal("STOP").await;
+    // Longer than either may be silent; any longer time does as well.
+    tokio::time::sleep(Duration::from_millis(5200)).await;
+    let mut clients = [used, new];
+    for client in &mut clients {
+        client.send("safe", "20000m").await;
+    }
+    node.signal("CONT").await;
+    for _ in 0..clients.len() {
+        let (mut wire, _) = server.request().await;
+        wire.answer("200 OK", "Connection: close\r\n", "").await;
+    }
+    for client in &mut clients {
+        assert_eq!(client.read().await.expect("an answer").status(), 200);
+    }
+}
--- a/node/tests/thrift.rs
+++ b/node/tests/thrift.rs
@@ -341,6 +341,100 @@
     assert_eq!((answer.seqid, answer.text.as_str()), (1, "done"));
 }
 
+/// A client leaves while its second call waits for the first to end: the second is never sent.
+#[tokio::test]
+async fn a_client_that_leaves_while_a_call_waits_for_its_turn_has_gone() {
+    let server = Peer::new().await;
+    let shop = Shop::new(&[("s", &server)], "").await;
+    let mut client = shop.client().await;
+    let calls = ["first", "second", "third"].map(|text| call("buy", 4, text));
+    client.write_bytes(&calls.concat()).await;
+    let mut wire = server.accept().await;
+    let first = next(&mut wire).await;
+    assert_eq!(first.text, "first");
+    client.end_sending().await;
+    client.closed().await; // It has been noticed.
+    wire.write_bytes(&reply("buy", first.seqid, "first")).await;
+    let mut other = shop.client().await;
+    other.write_bytes(&call("buy", 4, "another's")).await;
+    let sent = tokio::select! {
+        Some(sent) = wire.frame() => said(&sent),
+        mut wire = server.accept() => next(&mut wire).await,
+    };
+    assert_eq!(sent.text, "another's");
+}
+
+/// The node closes its side first: who still writes is not reset in the moment of the last reply.
+#[tokio::test]
+async fn the_sending_side_is_closed_first() {
+    let server = Peer::new().await;
+    let shop = Shop::new(&[("s", &server)], "").await;
+    let mut unknown = call("buy", 3, "x");
+    unknown[7] = 2; // A reply.
+    let mut client = shop.client().await;
+    client.write_bytes(&unknown).await;
+    let answer = next(&mut client).await;
+    assert_eq!((answer.seqid, answer.number), (3, Some(ExceptionType::InvalidMessageType as i64)));
+    client.closed().await; // Its sending has ended; it still reads.
+    client.write_bytes(b"late").await;
+    client.write_bytes(b"later").await; // After a reset this could not be written.
+}
+
+/// The time for silence ends and a call comes, both while the node stands still.
+#[tokio::test]
+async fn a_call_in_the_moment_of_the_close_for_silence_is_answered() {
+    let server = Peer::new().await;
+    let shop = Shop::new(&[("s", &server)], "idle_ms = 500").await;
+    let mut client = shop.client().await;
+    client.write_bytes(&call("buy", 1, "order")).await;
+    let mut wire = server.accept().await;
+    answer_next(&mut wire, "one").await;
+    assert_eq!(next(&mut client).await.text, "one");
+    shop.node.signal("STOP").await;
+    // Any longer time does as well.
+    tokio::time::sleep(std::time::Duration::from_millis(700)).await;
+    client.write_bytes(&call("buy", 2, "order")).await;
+    shop.node.signal("CONT").await;
+    answer_next(&mut wire, "two").await;
+    assert_eq!(next(&mut client).await.text, "two");
+}
+
+/// A call on a resting connection and one that waits to be accepted come in the moment in which the node closes.
+#[tokio::test]
+async fn calls_in_the_moment_of_the_closing_are_answered() {
+    let server = Peer::new().await;
+    let mut shop = Shop::new(&[("s", &server)], "").await;
+    let mut client = shop.client().await;
+    client.write_bytes(&call("buy", 1, "order")).await;
+    let mut wire = server.accept().await;
+    answer_next(&mut wire, "one").await;
+    assert_eq!(next(&mut client).await.text, "one");
+    drop(wire);
+    shop.node.signal("TERM").await;
+    shop.node.logged("leaving").await;
+    shop.node.signal("STOP").await;
+    client.write_bytes(&call("buy", 2, "order")).await;
+    let mut fresh = shop.client().await;
+    fresh.write_bytes(&call("buy", 2, "order")).await;
+    // Past the time in which it accepts, and what follows it.
+    tokio::time::sleep(std::time::Duration::from_millis(800)).await;
+    shop.node.signal("CONT").await;
+    let (mut one, mut two) = (server.accept().await, server.accept().await);
+    for wire in [&mut one, &mut two] {
+        answer_next(wire, "served").await;
+    }
+    for client in [&mut client, &mut fresh] {
+        assert_eq!(next(client).await.text, "served");
+    }
+    assert!(shop.node.exited().await.success());
+}
+
+/// Answers the call that comes next.
+async fn answer_next(wire: &mut Wire, text: &str) {
+    let got = next(wire).await;
+    wire.write_bytes(&reply("buy", got.seqid, text)).await;
+}
+
 /// Calls of the largest kind, far more than there is memory for: what is not held is not read, and all are answered,
 /// served or refused.
 #[tokio::test]
