Policy: a failed call for the list is repeated within 0.8 s, not 2 s

Cause: after each failed call the list was asked for again after up to 2 s at random. A watch that falls silent (given up after 3 s) and two refused calls came to 9 s at most; a change has to be known 6 s after discovery has it. Change: after a failed call at most 0.8 s; calls after a start from the known list are spread over 2 s as before.

--- a/node/tests/silence.rs
+++ b/node/tests/silence.rs
@@ -104,6 +104,21 @@
     }
 }
 
+/// A watch that falls silent, and two refused calls after it.
+#[tokio::test]
+async fn a_watch_that_falls_silent_and_calls_that_are_refused() {
+    for mode in MODES {
+        is_opened_anew(json!(mode), async |discovery, mut watch| {
+            watch.0.closed().await;
+            for _ in 0..2 {
+                let (mut wire, _) = discovery.request().await;
+                wire.answer("503 Service Unavailable", "", "").await;
+            }
+        })
+        .await;
+    }
+}
+
 /// An agent that is silent answers nothing that it was asked meanwhile: it is asked again soon, so that what it has once it
 /// is back is known within the grace of a drain.
 #[tokio::test]
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -20,6 +20,8 @@
 use crate::interface::*;
 use crate::state::{Balancer, First, Request, Settled};
 
+const ASK_AGAIN: f64 = 0.8; // after a failed call, at most: a silent one and two refused end within 6 s
+
 impl Balancer {
     /// Starts with no servers and no requests.
     pub fn new(settings: Settings, seed: u64, now: Time) -> Result<Self, SettingsError> {
@@ -61,8 +63,8 @@
     // Where lists come on request, calls are spread at random: all nodes may have started together, and a
     // failed call means that discovery is busy. The last list stays valid.
     if b.settings.list_on_request && matches!(kind, ListKind::Cached | ListKind::Failed) {
-        let spread = b.settings.rules.ask_within.as_secs_f64().clamp(1.0, 30.0) / 5.0;
-        let wait = b.random() * spread;
+        let most = b.settings.rules.ask_within.as_secs_f64().clamp(1.0, 30.0) / 5.0;
+        let wait = b.random() * if kind == ListKind::Failed { most.min(ASK_AGAIN) } else { most };
         b.list_timer = Some(b.set_timer(now, wait, actions));
     }
     if kind != ListKind::Failed {
