Leases: the test of the floor forces its case, where it was a coin toss between two nodes

Cause: the test's script lets two nodes contend from the start. Only where the one that started later holds first does the other never hear of a higher token; where the other holds first nothing can be found.

Now the later node is granted its lease, it and all voters are killed, the voters start anew, and only then does the earlier node ask: without a floor the token falls in every run, with one it rises. The script with its pauses is kept as tokens_rise_when_a_later_holder_dies_with_all_voters, which asks what it asked before of sound voters.

--- a/node/tests/leases.rs
+++ b/node/tests/leases.rs
@@ -1,7 +1,8 @@
 //! Leases among processes: no two act at once, whatever fails; what breaks without a safeguard is found; commands run under a lease.
 
 use birchswitch_standin::process::{block_on, node_binary, runs, signal};
-use birchswitch_standin::rig::leases::{play, Case, Outcome, CASES, SOUND};
+use birchswitch_standin::rig::history::now;
+use birchswitch_standin::rig::leases::{overlaps, play, Act, Case, Outcome, CASES, SOUND};
 use birchswitch_standin::rig::receiver::Receiver;
 use birchswitch_standin::rig::{LeasePlan, Plan, Rig};
 use birchswitch_standin::script::Script;
@@ -102,13 +103,61 @@
     assert!(found(&case, 2).is_some());
 }
 
-/// The holder started after the one that waits, and dies with all voters: the next token falls below the last unless voters start from a
-/// floor.
+/// A holder that started after all others dies with all voters, and a node that never heard of its token asks next. What the checker says
+/// of the two acts, and their tokens.
+async fn tokens_across_the_loss_of_all_voters(without: &[&'static str]) -> (Vec<String>, [u64; 2]) {
+    let lease = LeasePlan { without: without.to_vec(), ..LeasePlan::new(3) };
+    let plan =
+        Plan::new(node_binary().expect("this program's path"), 5, Script::parse("", 0, 5).expect("a script"));
+    let mut rig = Rig::start(Plan { lease: Some(lease), ..plan }).await.expect("a rig");
+    rig.agreed(Duration::from_secs(60)).await.expect("one membership");
+    let (earlier, later) = (3, 4);
+    let first = granted(&rig, later).await;
+    for place in [later, 0, 1, 2] {
+        rig.kill(place).await.expect("killed");
+    }
+    for voter in 0..3 {
+        rig.spawn(voter, voter).await.expect("started");
+    }
+    let second = granted(&rig, earlier).await;
+    (overlaps(&[first, second]), [first.token, second.token])
+}
+
+/// The first grant that a node's caller is told of.
+async fn granted(rig: &Rig, place: usize) -> Act {
+    let mut session = Wire::connect(rig.operators(place).expect("it runs")).await;
+    session.write("LEASE task 1\n").await;
+    within("a grant", async {
+        loop {
+            let asked = now();
+            let line = session.line().await.expect("an answer");
+            if let ["HELD", token, _, left] = line.split_ascii_whitespace().collect::<Vec<_>>()[..] {
+                let (token, left) = (token.parse().expect("a token"), left.parse::<u64>().expect("a time"));
+                return Act { place, token, begin: now(), end: asked + left * 1_000_000 };
+            }
+            sleep(Duration::from_millis(20)).await;
+            session.write("\n").await;
+        }
+    })
+    .await
+}
+
+/// The next token falls below the last unless voters start from a floor.
 #[test]
 fn voters_that_start_without_a_floor_are_found() {
+    let (wrong, [first, second]) = on_a_set(tokens_across_the_loss_of_all_voters(&["floor"]));
+    assert!(second < first, "without a floor: {first}, then {second}");
+    assert_eq!(wrong, [format!("token {second} came after {first}")]);
+    let (wrong, [first, second]) = on_a_set(tokens_across_the_loss_of_all_voters(&[]));
+    assert!(second > first, "with a floor: {first}, then {second}");
+    assert_eq!(wrong, Vec::<String>::new());
+}
+
+/// The same among contenders that are paused, die and come back.
+#[test]
+fn tokens_rise_when_a_later_holder_dies_with_all_voters() {
     let script = "1s n6 die\n1500ms n6 start\n2s n5 pause 4s\n8s n6 die\n8s n0-n4 die\n8s n0-n4 start\n13s wire lose 0";
     let case = Case { script, contend: &[5, 6], keeps: Duration::from_secs(60), ..SOUND };
-    assert!(found(&Case { name: "no floor", without: &["floor"], ..case }, 4).is_some());
     assert_eq!(found(&Case { name: "a floor", ..case }, 1), None);
 }
 
