--- a/crates/host/src/witness.rs
+++ b/crates/host/src/witness.rs
@@ -1,5 +1,6 @@
 //! What a host tells of its attempts' ends, and takes of what others met, by the servers' names' hashes.
 
+use crate::{Host, Upstream};
 use finchvale::{Advice, Outcome, ServerEntry, ServerId, ServerState, Time};
 use rustc_hash::FxHashMap;
 use std::time::Duration;
@@ -98,3 +99,33 @@
         each.collect()
     }
 }
+
+impl<U: Upstream> Host<U> {
+    /// From now on the end of each attempt is told. To be called before any list comes.
+    pub fn on_ends(&self, tell: impl Fn(End) + 'static) {
+        self.engine.borrow_mut().tell_ends();
+        *self.witness.borrow_mut() = Some(Witness::new(Box::new(tell), self.warm_up));
+    }
+
+    /// What the whole fleet knows of servers, in the place of all that was said so before; only where [`Host::on_ends`] was called.
+    pub fn advise(&self, said: &[Said]) {
+        let advice = self.witness.borrow().as_ref().map(|w| w.advice(said));
+        advice.into_iter().for_each(|advice| self.with(|engine, now| engine.advise(now, advice)));
+    }
+
+    /// Whether a server of that name's hash takes new requests, and how many do; only where [`Host::on_ends`] was called.
+    pub fn takes(&self, name: u64) -> bool {
+        self.witness.borrow().as_ref().is_some_and(|w| w.knows(name))
+    }
+
+    /// Whether it does, and is warm by now.
+    pub fn warm(&self, name: u64) -> bool {
+        let now = self.now();
+        self.witness.borrow().as_ref().is_some_and(|w| w.warm(name, now))
+    }
+
+    /// Servers that take new requests; none unless [`Host::on_ends`] was called.
+    pub fn ready_servers(&self) -> usize {
+        self.witness.borrow().as_ref().map_or(0, Witness::ready)
+    }
+}
