--- a/crates/http/src/front/answer.rs
+++ b/crates/http/src/front/answer.rs
@@ -3,7 +3,7 @@
 use super::client::Client;
 use super::order::{end_to_end, Order};
 use super::{Front, Phase};
-use crate::body::{self, BodyError, First, Payload, Reply, Upload};
+use crate::body::{self, BodyError, BodyPrefix, Payload, Reply, Upload};
 use crate::gate::{Problem, ENDING};
 use crate::upstream::HttpUpstream;
 use birchswitch_engine::{Answer, Incoming};
@@ -67,7 +67,7 @@
             true => (Payload::Whole(first.joined()), None),
             false => {
                 let upload = Upload::new(first.parts, body, head, self.room.clone(), order.wait);
-                (Payload::Coming(upload.clone()), Some(upload))
+                (Payload::Streamed(upload.clone()), Some(upload))
             }
         };
         let (due, last) = match &upload {
@@ -100,11 +100,11 @@
     }
 
     /// Reads a body, or as much of it as is held whole. A node that ends waits no longer.
-    async fn read_body(&self, body: &mut Body, head: Instant) -> Result<First, Problem> {
+    async fn read_body(&self, body: &mut Body, head: Instant) -> Result<BodyPrefix, Problem> {
         let mut phase = self.phase.clone();
         tokio::select! {
             biased;
-            first = First::read(body, |bytes| body::until(head, bytes), false) => first.map_err(|error| match error {
+            first = BodyPrefix::read(body, |bytes| body::until(head, bytes), false) => first.map_err(|error| match error {
                 BodyError::Silent => (StatusCode::REQUEST_TIMEOUT, "the body took too long"),
                 _ => (StatusCode::BAD_REQUEST, "the body is not whole"),
             }),
--- a/crates/http/src/front/mod.rs
+++ b/crates/http/src/front/mod.rs
@@ -9,7 +9,7 @@
 mod order;
 mod sent;
 
-use crate::body::Room;
+use crate::body::BufferBudget;
 use crate::upstream::HttpUpstream;
 use birchswitch_host::socket::queued;
 use birchswitch_host::Host;
@@ -58,7 +58,7 @@
     phase: watch::Receiver<Phase>,
     most: u32,
     /// For bodies that still come.
-    room: Rc<Room>,
+    room: Rc<BufferBudget>,
     slots: Arc<Semaphore>,
     clients: RefCell<FxHashMap<u64, Rc<Client>>>,
     next_client: Cell<u64>,
@@ -71,7 +71,7 @@
         names: Rc<Names>,
         effects: Vec<Effect>,
         connections: u32,
-        room: Rc<Room>,
+        room: Rc<BufferBudget>,
         phase: watch::Receiver<Phase>,
     ) -> Rc<Self> {
         Rc::new(Front {
--- a/crates/http/src/front/sent.rs
+++ b/crates/http/src/front/sent.rs
@@ -1,7 +1,7 @@
 //! An answer's body on its way to the client.
 
 use super::client::{Client, Stage};
-use crate::body::{BodyError, Coming, Reply};
+use crate::body::{BodyError, Reply, StreamedBody};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
@@ -19,16 +19,16 @@
     /// All of it.
     Whole(Full<Bytes>),
     /// It still comes.
-    Coming(Coming),
+    Streamed(StreamedBody),
 }
 
 impl Sent {
     pub(super) fn new(reply: Reply, client: Rc<Client>) -> Self {
         let body = match reply {
             Reply::Whole(bytes) => Answering::Whole(Full::new(bytes)),
-            Reply::Coming(coming) => {
+            Reply::Streamed(coming) => {
                 client.enter(Stage::Passing);
-                Answering::Coming(coming)
+                Answering::Streamed(coming)
             }
         };
         Sent { body, client }
@@ -43,7 +43,7 @@
         let me = self.get_mut();
         match &mut me.body {
             Answering::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            Answering::Coming(body) => {
+            Answering::Streamed(body) => {
                 // Asked for more, since what there was has gone.
                 me.client.took();
                 Pin::new(body).poll_frame(cx)
@@ -54,14 +54,14 @@
     fn is_end_stream(&self) -> bool {
         match &self.body {
             Answering::Whole(body) => body.is_end_stream(),
-            Answering::Coming(body) => body.is_end_stream(),
+            Answering::Streamed(body) => body.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.body {
             Answering::Whole(body) => body.size_hint(),
-            Answering::Coming(body) => body.size_hint(),
+            Answering::Streamed(body) => body.size_hint(),
         }
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,6 @@
 mod gate;
 mod upstream;
 
-pub use body::Room;
+pub use body::BufferBudget;
 pub use front::{Front, Phase};
 pub use upstream::{HttpUpstream, Limits};
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -1,6 +1,6 @@
 //! The servers' side: their addresses and states, connections to them, and what is sent over these.
 
-use crate::body::{Coming, First, Outgoing, Payload, Reply, Room};
+use crate::body::{BodyPrefix, BufferBudget, Outgoing, Payload, Reply, StreamedBody};
 use crate::gate::{self, Gate, Guard, Head, Next, Problem};
 use birchswitch_engine::{Clearance, Ended};
 use birchswitch_host::pool::{self, Fresh, Pool, Pooled, Server};
@@ -110,7 +110,7 @@
 /// of the answer.
 struct Exchanged {
     head: response::Parts,
-    first: First,
+    first: BodyPrefix,
     rest: Incoming,
     connection: Connection,
 }
@@ -121,7 +121,7 @@
     names: Rc<Names>,
     fields: Vec<Field>,
     /// For what clients have not taken yet of large answers.
-    room: Rc<Room>,
+    room: Rc<BufferBudget>,
 }
 
 /// What the node may hold of connections to servers.
@@ -145,7 +145,7 @@
 impl HttpUpstream {
     /// Starts with no servers. The names and fields tell how to read load reports; what clients have not taken yet of large
     /// answers waits in `room`.
-    pub fn new(limits: Limits, names: Rc<Names>, fields: Vec<Field>, room: Rc<Room>) -> Rc<Self> {
+    pub fn new(limits: Limits, names: Rc<Names>, fields: Vec<Field>, room: Rc<BufferBudget>) -> Rc<Self> {
         let Limits { connections, connect_timeout, conn_idle } = limits;
         let limits = pool::Limits { connections, connect_timeout, conn_idle, rest: QUARANTINE };
         Rc::new(HttpUpstream { pool: Pool::new(limits), names, fields, room })
@@ -181,7 +181,7 @@
     ) -> Result<Exchanged, Outcome> {
         let whole = match request.body() {
             Outgoing::Whole(_) => None,
-            Outgoing::Coming(reader) => Some(reader.finished.clone()),
+            Outgoing::Streamed(reader) => Some(reader.finished.clone()),
         };
         connection.sending.set(Sending::Nothing);
         let response = match connection.sender.try_send_request(request).await {
@@ -194,7 +194,7 @@
             Err(_) => return Err(Outcome::Broken),
         };
         let (head, mut rest) = response.into_parts();
-        match First::of_answer(&mut rest, left).await {
+        match BodyPrefix::of_answer(&mut rest, left).await {
             Ok(first) => Ok(Exchanged { head, first, rest, connection }),
             Err(_) => Err(Outcome::Broken),
         }
@@ -238,14 +238,14 @@
                 ticket.written();
                 (Outgoing::Whole(Some(bytes.clone())), left)
             }
-            Payload::Coming(upload) => {
+            Payload::Streamed(upload) => {
                 // Nothing of it is left to be sent from the start: this ends as if it had not been tried.
                 let Some(mut reader) = upload.reader() else {
                     ticket.end(Ended::bare(Outcome::NotSent));
                     return self.pool.give_back(&server, connection);
                 };
                 reader.written = Some(Box::new(ticket.once_written()));
-                (Outgoing::Coming(reader), left.min(upload.wait))
+                (Outgoing::Streamed(reader), left.min(upload.wait))
             }
         };
         let mut outgoing = Request::new(body);
@@ -269,8 +269,8 @@
             let end = move || self.pool.give_back(&server, connection);
             // An upload's time counts from its last byte, which was out before the answer's first.
             let since = if matches!(request.body(), Payload::Whole(_)) { sent } else { Instant::now() };
-            let coming = Coming::new(first.parts, rest, room, since + left + OVERTIME, end);
-            let answer = Response::from_parts(head, Reply::Coming(coming));
+            let coming = StreamedBody::new(first.parts, rest, room, since + left + OVERTIME, end);
+            let answer = Response::from_parts(head, Reply::Streamed(coming));
             return ticket.end(Ended { outcome, report, answer: Some(answer) });
         }
         let served = outcome == Outcome::Served;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -14,7 +14,7 @@
 
 use birchswitch_figures::Figures;
 use birchswitch_host::Host;
-use birchswitch_http::{Front, HttpUpstream, Limits, Phase, Room};
+use birchswitch_http::{BufferBudget, Front, HttpUpstream, Limits, Phase};
 use birchswitch_lease_host::{Leases, Tasks};
 use birchswitch_membership::{Directory, Discovery};
 use clap::{Parser, Subcommand};
@@ -115,8 +115,12 @@
         conn_idle: or(settings.conn_idle, Duration::from_secs(5)),
     };
     let names = Rc::new(config.site.names);
-    let upstream =
-        HttpUpstream::new(limits, names.clone(), config.site.fields, Room::new(memory / PASSING_PART));
+    let upstream = HttpUpstream::new(
+        limits,
+        names.clone(),
+        config.site.fields,
+        BufferBudget::new(memory / PASSING_PART),
+    );
     let asked = settings.list_on_request;
     let directory = Directory::new(names.clone());
     let figures = Figures::new(&names.classes)?;
@@ -201,7 +205,7 @@
         names.clone(),
         effects,
         clients as u32,
-        Room::new(memory / PASSING_PART),
+        BufferBudget::new(memory / PASSING_PART),
         phases,
     );
     let waiting = host.clone();
