Stand-ins: a scale run that measures a fleet by role, size by size

Need: docs/CAPACITY.md has products of single slopes; nothing measured a fleet with all its parts on as it grows. Change: birchswitch-standin scale starts real processes (at most 200, half of the memory; more is refused before a start), waits for one membership and a holder of each task, watches, and tells processor time, memory, descriptors and bytes by role, as a table, as CSV and as lines through four sizes or more. A step in which a living node was taken for dead, or the processors were busy, is void. The rig counts what each place sends. Nodes that share a process are not built yet.

--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -2,6 +2,8 @@
 
 #![forbid(unsafe_code)]
 
+mod scale_command;
+
 use birchswitch_standin::book::Book;
 use birchswitch_standin::cost::{self, Way};
 use birchswitch_standin::fleet::{self, Plan, Report};
@@ -38,6 +40,8 @@
     Leases(LeaseArguments),
     /// Limits, wallet, verdicts and weights of one fleet at once, under random faults for as long as wanted
     Common(CommonArguments),
+    /// What a fleet with all its fleet-wide parts on costs as it grows, size by size, without clients
+    Scale(scale_command::Arguments),
     /// What a request costs a node over HTTP and Thrift: CPU time, latency, memory, and their ratios
     Cost(Cost),
 }
@@ -172,6 +176,7 @@
         Play::Rig(arguments) => rig(&arguments),
         Play::Leases(arguments) => of_leases(&arguments),
         Play::Common(arguments) => in_common(&arguments),
+        Play::Scale(arguments) => scale_command::run(&arguments, build_node),
         Play::Cost(cost) => measure(cost).map(|()| true),
     };
     match done {
--- a/crates/standin/src/rig/mod.rs
+++ b/crates/standin/src/rig/mod.rs
@@ -16,6 +16,7 @@
 pub mod load;
 mod plan;
 pub mod receiver;
+pub mod scale;
 pub mod site;
 pub mod streams;
 pub mod takeovers;
@@ -111,6 +112,17 @@
 /// Where operators call each place's process now.
 pub type Desks = Rc<RefCell<Vec<Option<SocketAddr>>>>;
 
+/// What a node sent to other nodes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sent {
+    /// Datagrams.
+    pub datagrams: u64,
+    /// Bytes in them.
+    pub datagram_bytes: u64,
+    /// Bytes over the mesh's connections, both ways of those that were made to it or by it counted at their sender.
+    pub stream_bytes: u64,
+}
+
 /// A rig that runs. Has to live on a `LocalSet`.
 pub struct Rig {
     plan: Plan,
@@ -185,7 +197,7 @@
         let config = json!({
             "name": name, "listen": "127.0.0.1:0", "ops": "127.0.0.1:0",
             "discovery": self.around[place].discovery.to_string(), "seed": format!("{:x}", self.plan.script.seed),
-            "limits": {"sockets": 256, "memory_mb": 64}, "settings": self.plan.settings,
+            "limits": {"sockets": self.plan.sockets, "memory_mb": 64}, "settings": self.plan.settings,
         });
         let file = ConfigFile::new(&config.to_string()).map_err(io("a configuration"))?;
         let operator = self.plan.operator_file((place, node), &self.around[place], |n| self.wire.address(n));
@@ -295,6 +307,12 @@
         &self.wire
     }
 
+    /// What the processes at a place sent to others so far.
+    pub fn sent(&self, place: usize) -> Sent {
+        let [datagrams, datagram_bytes] = self.wire.sent_by(place);
+        Sent { datagrams, datagram_bytes, stream_bytes: self.streams.sent_by(place) }
+    }
+
     /// Where clients reach the node at a place.
     pub fn listen(&self, place: usize) -> Option<SocketAddr> {
         self.processes[place].as_ref().map(|p| self.around[place].clients.unwrap_or(p.listen))
@@ -393,6 +411,17 @@
         Ok(())
     }
 
+    /// Kills all processes and waits until they are gone.
+    pub async fn abort(mut self) -> Result<(), RigError> {
+        for place in self.places() {
+            self.signal(place, Signal::KILL);
+        }
+        for place in self.places() {
+            self.end(place, true).await?;
+        }
+        Ok(())
+    }
+
     /// Ends all processes, those that are stopped too, and hands out the history.
     pub async fn close(mut self) -> Result<History, RigError> {
         for place in self.places() {
--- a/crates/standin/src/rig/plan.rs
+++ b/crates/standin/src/rig/plan.rs
@@ -26,6 +26,8 @@
     pub streams: bool,
     /// Nodes have a mesh among them, which passes the rig: what a script cuts between nodes is cut for it too.
     pub mesh: bool,
+    /// Descriptors that each process may hold; a quarter of them are for its mesh.
+    pub sockets: usize,
     /// Each place has a folder that lasts longer than its processes.
     pub folders: bool,
     /// The site's settings.
@@ -48,6 +50,7 @@
             servers: Vec::new(),
             streams: false,
             mesh: false,
+            sockets: 256,
             folders: false,
             settings: crate::scripted::settings(),
             operator: String::new(),
@@ -110,7 +113,10 @@
             );
         }
         if let Some(mesh) = around.mesh {
-            file += &format!("[mesh]\nbind = \"{own}:0\"\nadvertise = \"{mesh}\"\nconnections = 64\n");
+            file += &format!(
+                "[mesh]\nbind = \"{own}:0\"\nadvertise = \"{mesh}\"\nconnections = {}\n",
+                self.sockets / 4
+            );
         }
         let folder = around.folder.as_ref().map(|f| f.path().display().to_string()).unwrap_or_default();
         Ok(file + &self.operator.replace("{folder}", &folder))
--- /dev/null
+++ b/crates/standin/src/rig/scale/mod.rs
@@ -0,0 +1,298 @@
+//! What a fleet costs as it grows: real processes with every fleet-wide part on, size by size, without clients.
+//!
+//! Each size is a fleet of its own, started, left to agree, and watched. What its processes took is told by role: those that hold
+//! a lease by its task, those that vote, and all others. Lines through the sizes ([`Line`]) tell what each role's cost grows by.
+
+mod fit;
+mod measure;
+mod table;
+
+use super::history::History;
+use super::{LeasePlan, Plan, Rig, RigError, Sent};
+use crate::script::Script;
+pub use fit::Line;
+use measure::{usage, Processors, Usage};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::time::Duration;
+pub use table::{head, row, METRICS};
+use tokio::time::{sleep, Instant};
+
+/// Processes that may run at once.
+pub const MOST_PROCESSES: usize = 200;
+/// Memory that a process is taken to need before it is started.
+const PROCESS_KB: u64 = 32 << 10;
+/// Nodes that vote on leases.
+const VOTERS: usize = 5;
+/// Fewest nodes of a fleet: those that vote and one that does not.
+const LEAST_NODES: usize = VOTERS + 1;
+/// For a fleet to agree on its members and its leases.
+const AGREED: Duration = Duration::from_secs(120);
+/// Between looks at whether it has.
+const LOOK: Duration = Duration::from_secs(1);
+/// From then until it is watched.
+const SETTLED: Duration = Duration::from_secs(5);
+/// With the processors busier than this, processes wait for each other: what is measured shows the machine.
+const MOST_BUSY: f64 = 0.85;
+/// Tasks of which a fleet with all parts on runs one each.
+const TASKS: [&str; 2] = ["limits", "tuner"];
+
+/// What a fleet is made of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Nodes, each a process.
+    pub nodes: usize,
+    /// Servers that discovery lists; nobody listens there.
+    pub servers: usize,
+    /// Limits of the whole fleet, each of a tenant of its own.
+    pub limits: usize,
+    /// Prepaid accounts, each of a tenant of its own.
+    pub accounts: usize,
+}
+
+/// Why a run was refused or could not go on.
+#[derive(Debug, thiserror::Error)]
+pub enum ScaleError {
+    /// Too few nodes.
+    #[error("{0} nodes are too few: {VOTERS} vote, and at least one does not")]
+    TooSmall(usize),
+    /// Too many processes.
+    #[error("{0} nodes are more than the {MOST_PROCESSES} processes that a run may start")]
+    TooManyProcesses(usize),
+    /// Too much memory.
+    #[error("{nodes} nodes may need {wanted_mb} MB, and a run may take half of the machine's memory, {most_mb} MB")]
+    TooMuchMemory {
+        /// Nodes.
+        nodes: usize,
+        /// What they may need.
+        wanted_mb: u64,
+        /// What a run may take.
+        most_mb: u64,
+    },
+    /// Trouble with the processes.
+    #[error(transparent)]
+    Rig(#[from] RigError),
+}
+
+/// Whether sizes may be played on this machine. To be asked before anything is started.
+pub fn check(sizes: &[Size]) -> Result<(), ScaleError> {
+    check_against(sizes, measure::machine_memory_kb())
+}
+
+fn check_against(sizes: &[Size], machine_kb: u64) -> Result<(), ScaleError> {
+    for nodes in sizes.iter().map(|size| size.nodes) {
+        if nodes < LEAST_NODES {
+            return Err(ScaleError::TooSmall(nodes));
+        }
+        if nodes > MOST_PROCESSES {
+            return Err(ScaleError::TooManyProcesses(nodes));
+        }
+        let (wanted, most) = (nodes as u64 * PROCESS_KB, machine_kb / 2);
+        if wanted > most {
+            return Err(ScaleError::TooMuchMemory { nodes, wanted_mb: wanted >> 10, most_mb: most >> 10 });
+        }
+    }
+    Ok(())
+}
+
+/// The base size, then each list's further values with all others at the base, then all lists' last values together where more than
+/// one list has several.
+pub fn sizes(nodes: &[usize], servers: &[usize], limits: &[usize], accounts: &[usize]) -> Vec<Size> {
+    let pick = |of: fn(&[usize]) -> Option<&usize>| {
+        let [nodes, servers, limits, accounts] =
+            [nodes, servers, limits, accounts].map(|list| of(list).copied().unwrap_or_default());
+        Size { nodes, servers, limits, accounts }
+    };
+    let base = pick(<[usize]>::first);
+    let mut all = vec![base];
+    all.extend(nodes.iter().skip(1).map(|&nodes| Size { nodes, ..base }));
+    all.extend(servers.iter().skip(1).map(|&servers| Size { servers, ..base }));
+    all.extend(limits.iter().skip(1).map(|&limits| Size { limits, ..base }));
+    all.extend(accounts.iter().skip(1).map(|&accounts| Size { accounts, ..base }));
+    let several = [nodes, servers, limits, accounts].iter().filter(|list| list.len() > 1).count();
+    if several > 1 {
+        all.push(pick(<[usize]>::last));
+    }
+    all
+}
+
+/// What one process took a second, and holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Cost {
+    /// Parts of a core, in hundredths.
+    pub cpu_percent: f64,
+    /// Memory.
+    pub memory_kb: f64,
+    /// Descriptors.
+    pub descriptors: f64,
+    /// Datagrams a second that it sent.
+    pub datagrams: f64,
+    /// Bytes a second in them.
+    pub datagram_bytes: f64,
+    /// Bytes a second that it sent over the mesh.
+    pub stream_bytes: f64,
+}
+
+/// What a size came to.
+#[derive(Clone, Debug)]
+pub struct Step {
+    /// The size.
+    pub size: Size,
+    /// Until all knew each other and each task was somebody's.
+    pub agreed: Duration,
+    /// By role: processes, and the mean of their costs.
+    pub roles: BTreeMap<String, (usize, Cost)>,
+    /// Why it is no evidence, if it is none.
+    pub void: Option<String>,
+}
+
+/// Plays one size.
+pub async fn play(size: Size, binary: PathBuf, length: Duration, seed: u64) -> Result<Step, ScaleError> {
+    let rig = Rig::start(plan(size, binary, seed)).await?;
+    let agreed = agreed(&rig).await?;
+    sleep(SETTLED).await;
+    let (verdicts, processors) = (verdicts(&rig.history()), Processors::now());
+    let (before, began) = (readings(&rig), Instant::now());
+    sleep(length).await;
+    let (after, seconds) = (readings(&rig), began.elapsed().as_secs_f64());
+    let busy = Processors::now().busy_since(processors);
+    let history = rig.history();
+    let void = match self::verdicts(&history) - verdicts {
+        0 if busy > MOST_BUSY => {
+            Some(format!("the processors were busy for {:.0}% of the time", 100.0 * busy))
+        }
+        0 => None,
+        wrong => Some(format!("{wrong} nodes that live were taken for dead")),
+    };
+    let roles = roles(&history, size.nodes);
+    rig.abort().await?;
+    let costs =
+        before.iter().zip(&after).map(|(before, after)| cost(before, after, seconds)).collect::<Vec<_>>();
+    Ok(Step { size, agreed, roles: by_role(&roles, &costs), void })
+}
+
+fn plan(size: Size, binary: PathBuf, seed: u64) -> Plan {
+    let script = Script { seed, ..Script::default() };
+    let mut operator = "[quota]\n[verdicts]\n[tuner]\n".to_owned();
+    for n in 0..size.limits {
+        operator +=
+            &format!("[[limits]]\nname = \"limit{n}\"\ntenant = \"t{n}\"\nper_s = 100.0\nburst = 100.0\n");
+    }
+    if size.accounts > 0 {
+        operator += "[ledger]\nnodes = [\"n0\", \"n1\", \"n2\"]\nfolder = \"{folder}\"\n";
+    }
+    for n in 0..size.accounts {
+        operator +=
+            &format!("[[wallet]]\ntenant = \"t{n}\"\nprices = {{ safe = 1, keyed = 2, unsafe = 5 }}\n");
+    }
+    Plan {
+        zones: 1,
+        lease: Some(LeasePlan { lines: String::new(), ..LeasePlan::new(VOTERS) }),
+        mesh: true,
+        folders: size.accounts > 0,
+        servers: (0..size.servers).map(|_| crate::scripted::own_address()).collect(),
+        // Whoever serves a task hears every other node.
+        sockets: 8 * (size.nodes + 32),
+        settings: settings(size.limits.max(size.accounts).max(1)),
+        operator,
+        ..Plan::new(binary, size.nodes, script)
+    }
+}
+
+fn settings(tenants: usize) -> Value {
+    let mut settings = crate::scripted::settings();
+    let tenant =
+        |n| json!({"name": format!("t{n}"), "quota_per_s": 100_000.0, "share": 1.0 / tenants as f64});
+    settings["tenants"] = (0..tenants).map(tenant).collect();
+    settings
+}
+
+/// Waits for one membership, and for a holder of each task.
+async fn agreed(rig: &Rig) -> Result<Duration, ScaleError> {
+    let began = Instant::now();
+    loop {
+        let one = rig.agreed(Duration::from_millis(1)).await;
+        let holders = holders(&rig.history());
+        let missing = TASKS.iter().find(|task| !holders.keys().any(|lease| task_of(lease) == **task));
+        match (one, missing) {
+            (Ok(_), None) => return Ok(began.elapsed()),
+            (Err(error), _) if began.elapsed() > AGREED => return Err(error.into()),
+            (_, Some(task)) if began.elapsed() > AGREED => {
+                let (what, last) = (format!("a holder of {task}"), "none".to_owned());
+                return Err(RigError::Late { what, patience: AGREED, last }.into());
+            }
+            _ => sleep(LOOK).await,
+        }
+    }
+}
+
+fn verdicts(history: &History) -> usize {
+    history.lines.iter().filter(|line| line.kind == "verdict").count()
+}
+
+/// The task of a lease's key, which ends with its slot and may name a zone.
+fn task_of(lease: &str) -> &str {
+    lease.split('/').next().unwrap_or(lease)
+}
+
+/// Who holds each lease.
+fn holders(history: &History) -> BTreeMap<String, usize> {
+    let mut holders = BTreeMap::new();
+    for line in &history.lines {
+        let lease = line.text("lease");
+        match line.kind.as_str() {
+            "granted" => drop(holders.insert(lease.to_owned(), line.place)),
+            "lost" | "released" if holders.get(lease) == Some(&line.place) => drop(holders.remove(lease)),
+            _ => {}
+        }
+    }
+    holders
+}
+
+/// Each place's roles: the tasks that it holds, else that it votes, else none.
+fn roles(history: &History, nodes: usize) -> Vec<Vec<String>> {
+    let mut roles = vec![Vec::new(); nodes];
+    for (lease, place) in holders(history) {
+        roles[place].push(format!("holder of {}", task_of(&lease)));
+    }
+    for (place, roles) in roles.iter_mut().enumerate().filter(|(_, roles)| roles.is_empty()) {
+        roles.push(if place < VOTERS { "voter" } else { "node" }.to_owned());
+    }
+    roles
+}
+
+fn readings(rig: &Rig) -> Vec<(Usage, Sent)> {
+    let reading = |place: usize| (rig.pid(place).map(usage).unwrap_or_default(), rig.sent(place));
+    rig.places().into_iter().map(reading).collect()
+}
+
+fn cost(before: &(Usage, Sent), after: &(Usage, Sent), seconds: f64) -> Cost {
+    let a_second = |before: u64, after: u64| (after - before) as f64 / seconds;
+    Cost {
+        cpu_percent: 100.0 * after.0.cpu.saturating_sub(before.0.cpu).as_secs_f64() / seconds,
+        memory_kb: after.0.memory_kb as f64,
+        descriptors: after.0.descriptors as f64,
+        datagrams: a_second(before.1.datagrams, after.1.datagrams),
+        datagram_bytes: a_second(before.1.datagram_bytes, after.1.datagram_bytes),
+        stream_bytes: a_second(before.1.stream_bytes, after.1.stream_bytes),
+    }
+}
+
+fn by_role(roles: &[Vec<String>], costs: &[Cost]) -> BTreeMap<String, (usize, Cost)> {
+    let mut sums: BTreeMap<String, (usize, Cost)> = BTreeMap::new();
+    for (roles, cost) in roles.iter().zip(costs) {
+        for role in roles {
+            let (count, sum) = sums.entry(role.clone()).or_default();
+            *count += 1;
+            *sum = METRICS.iter().fold(*sum, |sum, metric| metric.add(sum, cost));
+        }
+    }
+    for (count, sum) in sums.values_mut() {
+        *sum = METRICS.iter().fold(*sum, |sum, metric| metric.divide(sum, *count as f64));
+    }
+    sums
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/standin/src/rig/streams.rs
+++ b/crates/standin/src/rig/streams.rs
@@ -6,9 +6,11 @@
 
 use super::wire;
 use birchswitch_lab::chance::Chance;
-use std::collections::BTreeSet;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -43,15 +45,23 @@
     faults: watch::Sender<Faults>,
     ways: JoinSet<()>,
     opened: u64,
+    /// Bytes that each place sent.
+    sent: Rc<RefCell<BTreeMap<usize, u64>>>,
 }
 
 impl Default for Streams {
     fn default() -> Self {
-        Streams { faults: watch::Sender::new(Faults::default()), ways: JoinSet::new(), opened: 0 }
+        let faults = watch::Sender::new(Faults::default());
+        Streams { faults, ways: JoinSet::new(), opened: 0, sent: Rc::default() }
     }
 }
 
 impl Streams {
+    /// Bytes that a place sent so far.
+    pub fn sent_by(&self, place: usize) -> u64 {
+        self.sent.borrow().get(&place).copied().unwrap_or_default()
+    }
+
     /// From now on nothing passes for these.
     pub fn cut(&self, pairs: Pairs) {
         self.faults.send_modify(|f| f.cut = pairs);
@@ -71,7 +81,7 @@
     ) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let faults = self.faults.subscribe();
+        let (faults, sent) = (self.faults.subscribe(), self.sent.clone());
         self.opened += 1;
         let mut chance = Chance::new(self.opened, 17);
         self.ways.spawn_local(async move {
@@ -88,7 +98,8 @@
                             };
                             let mut gate = |pair| {
                                 let seed = (chance.unit() * 1e9) as u64;
-                                Gate { faults: faults.clone(), pair, chance: Chance::new(seed, 18) }
+                                let (faults, sent) = (faults.clone(), sent.clone());
+                                Gate { faults, pair, chance: Chance::new(seed, 18), sent }
                             };
                             let (there, back) = (gate((from, to)), gate((to, from)));
                             // Its end is either side's; neither has anything more to say of it.
@@ -108,6 +119,7 @@
     faults: watch::Receiver<Faults>,
     pair: (usize, usize),
     chance: Chance,
+    sent: Rc<RefCell<BTreeMap<usize, u64>>>,
 }
 
 impl Gate {
@@ -125,6 +137,7 @@
         let mut buffer = vec![0; 16 << 10];
         loop {
             let length = from.read(&mut buffer).await?;
+            *self.sent.borrow_mut().entry(self.pair.0).or_default() += length as u64;
             self.opens().await?;
             let lose = self.faults.borrow().lose;
             if lose > 0 && self.chance.unit() * 1000.0 < f64::from(lose) {
--- a/crates/standin/src/rig/wire.rs
+++ b/crates/standin/src/rig/wire.rs
@@ -47,6 +47,8 @@
     socket: UdpSocket,
     /// Where its process listens, if one does.
     real: Cell<Option<SocketAddr>>,
+    /// Datagrams and bytes that its processes sent.
+    sent: Cell<[u64; 2]>,
 }
 
 /// The wire. Runs on a `LocalSet`, as long as it is held.
@@ -86,7 +88,7 @@
         let mut all = Vec::new();
         for n in 0..places {
             let socket = UdpSocket::bind((host(n, true), 0)).await?;
-            all.push(Place { socket, real: Cell::new(None) });
+            all.push(Place { socket, real: Cell::new(None), sent: Cell::default() });
         }
         let shared = Rc::new(Shared {
             places: all,
@@ -127,6 +129,11 @@
         self.shared.faults.borrow().cut.clone()
     }
 
+    /// Datagrams and bytes that the processes at a place sent.
+    pub fn sent_by(&self, place: usize) -> [u64; 2] {
+        self.shared.places[place].sent.get()
+    }
+
     /// What passed.
     pub fn passed(&self) -> Passed {
         *self.shared.passed.borrow()
@@ -163,6 +170,8 @@
         let mut passed = self.passed.borrow_mut();
         passed.sent[0] += 1;
         passed.sent[1] += bytes.len() as u64;
+        let [datagrams, sent] = self.places[from].sent.get();
+        self.places[from].sent.set([datagrams + 1, sent + bytes.len() as u64]);
         let befalls = |chance: &mut Chance, part: u32| part > 0 && chance.unit() < f64::from(part) / 1e3;
         if faults.cut.contains(&(from, to)) || befalls(&mut chance, faults.lose) {
             passed.lost += 1;
--- /dev/null
+++ b/crates/standin/tests/scale.rs
@@ -0,0 +1,44 @@
+//! The scale run's command refuses what it cannot play, before it starts anything.
+
+use std::process::{Command, Output};
+
+/// Nobody is there: whatever would be started fails, and says so.
+const NO_NODE: &str = "/nonexistent/birchswitch";
+
+fn scale(arguments: &[&str]) -> Output {
+    let command =
+        Command::new(env!("CARGO_BIN_EXE_birchswitch-standin")).arg("scale").args(arguments).output();
+    command.expect("the program runs")
+}
+
+fn refusal(arguments: &[&str]) -> String {
+    let output = scale(&[arguments, &["--node", NO_NODE]].concat());
+    assert!(!output.status.success(), "{arguments:?}");
+    assert!(output.stdout.is_empty(), "{arguments:?}: {:?}", String::from_utf8_lossy(&output.stdout));
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+#[test]
+fn sizes_that_cannot_be_played_are_refused() {
+    assert!(refusal(&["--nodes", "25,201"]).contains("201 nodes are more than the 200 processes"));
+    assert!(refusal(&["--nodes", "5"]).contains("5 nodes are too few"));
+    assert!(refusal(&["--nodes", "many"]).contains("invalid value 'many'"));
+    assert!(refusal(&["--seconds", "0"]).contains("'--seconds <SECONDS>'"));
+}
+
+#[test]
+fn an_output_that_cannot_be_written_is_refused() {
+    assert!(
+        refusal(&["--nodes", "6", "--csv", "/nonexistent/figures.csv"]).contains("/nonexistent/figures.csv")
+    );
+}
+
+#[test]
+fn a_run_that_cannot_go_on_leaves_whole_lines() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("figures.csv");
+    let message = refusal(&["--nodes", "6", "--csv", path.to_str().expect("a path")]);
+    assert!(message.contains(NO_NODE), "{message}");
+    let text = std::fs::read_to_string(&path).expect("the figures");
+    assert!(text.starts_with("seed,nodes,") && text.ends_with('\n'), "{text:?}");
+}
