Tests: an agreed number of members is waited for; the wallet's test says what it saw

operators_see_members_what_they_tell_and_who_leaves failed once of four runs under two suites at once: it looked at the agreed number of members in the moment in which the last was heard of, which comes a moment later. It waits for it now. a_balance_is_spent_to_the_last_unit_and_no_further failed in 2 of 4 such runs (and 3 of 8 with eight more copies beside them), none of 18 with ten copies, or eight beside fourteen busy loops: its cause is not known. It now tells what servers and the ledger say where the last units do not come, and which answers were neither served nor refused.

--- a/node/tests/members.rs
+++ b/node/tests/members.rs
@@ -121,7 +121,18 @@
             panic!("no {told} of {of}: {}", call(n0, "MEMBERS").await);
         };
         // The list of twenty servers is the registry's 21st revision.
-        let text = seen("21", "n2").await;
+        seen("21", "n2").await;
+        // Agreed upon a moment after all are known.
+        let text = within("an agreed number of members", async {
+            loop {
+                let text = call(n0, "MEMBERS").await;
+                if text.contains("# 3 of 3 members") {
+                    return text;
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        })
+        .await;
         assert!(line(&text, "# 3 of 3 members").contains("majority, health 0"), "{text}");
         assert!(line(&text, "n0 own ").contains(" z0 "), "{text}");
         line(&text, "n1 alive ");
--- a/node/tests/wallet.rs
+++ b/node/tests/wallet.rs
@@ -32,6 +32,22 @@
     began.elapsed()
 }
 
+/// Waits until servers saw requests for so many units.
+async fn spends(bank: &Bank, units: u64) -> Duration {
+    let began = Instant::now();
+    while bank.at_servers() != units {
+        if began.elapsed() > Duration::from_secs(60) {
+            panic!(
+                "servers saw {} units of {units}; the ledger: {:?}",
+                bank.at_servers(),
+                bank.shown().await
+            );
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    began.elapsed()
+}
+
 /// Balance run to nothing under load by all nodes at once, topped up in the moment of pausing, and the last 20 units with twelve nodes.
 #[test]
 fn a_balance_is_spent_to_the_last_unit_and_no_further() {
@@ -40,9 +56,9 @@
         let mut bank = open(&case).await;
         bank.pay(&[0], "first", 400).await;
         bank.load(10.0, &["safe"]);
-        until("all of it", || bank.at_servers() == 400).await;
+        spends(&bank, 400).await;
         bank.pay(&[7], "second", 20).await;
-        let took = until("the last 20", || bank.at_servers() == 420).await;
+        let took = spends(&bank, 420).await;
         println!("20 more units are spent {took:?} after they were paid");
         let shown = bank.until("a pause", |s| s.state == "paused").await;
         assert_eq!((shown.balance, shown.topped), (0, 420));
@@ -71,9 +87,10 @@
         let resumed = until("traffic again", || bank.at_servers() > before).await;
         println!("resumed {resumed:?} after the payment");
         assert!(resumed < Duration::from_secs(5));
-        until("all of it", || bank.at_servers() == 620).await;
+        spends(&bank, 620).await;
         let ended = bank.quiet().await;
-        assert!(ended.iter().all(|e| matches!(e.status, Some(200 | 503))), "each got its answer");
+        let others: Vec<_> = ended.iter().filter(|e| !matches!(e.status, Some(200 | 503))).collect();
+        assert!(others.is_empty(), "each got its answer: {others:?}");
         bank.until("all settled", |s| s.spent == 620).await;
         holds(&bank, &case).await;
         bank.rig.close().await.expect("the end");
