--- a/crates/standin/src/rig/scale/mod.rs
+++ b/crates/standin/src/rig/scale/mod.rs
@@ -152,7 +152,8 @@
     let rig = Rig::start(plan(size, binary, seed)).await?;
     let agreed = agreed(&rig).await?;
     sleep(SETTLED).await;
-    let (verdicts, processors) = (verdicts(&rig.history()), Processors::now());
+    let (verdicts, held) = (verdicts(&rig.history()), holders(&rig.history()));
+    let processors = Processors::now();
     let (before, began) = (readings(&rig), Instant::now());
     sleep(length).await;
     let (after, seconds) = (readings(&rig), began.elapsed().as_secs_f64());
@@ -162,6 +163,7 @@
         0 if busy > MOST_BUSY => {
             Some(format!("the processors were busy for {:.0}% of the time", 100.0 * busy))
         }
+        0 if holders(&history) != held => Some("a task's holder changed".to_owned()),
         0 => None,
         wrong => Some(format!("{wrong} nodes that live were taken for dead")),
     };
@@ -239,7 +241,10 @@
 /// Who holds each lease.
 fn holders(history: &History) -> BTreeMap<String, usize> {
     let mut holders = BTreeMap::new();
-    for line in &history.lines {
+    // Lines of different processes come in any order.
+    let mut lines: Vec<_> = history.lines.iter().filter(|line| !line.text("lease").is_empty()).collect();
+    lines.sort_by_key(|line| line.at);
+    for line in lines {
         let lease = line.text("lease");
         match line.kind.as_str() {
             "granted" => drop(holders.insert(lease.to_owned(), line.place)),
