--- a/node/tests/scale.rs
+++ b/node/tests/scale.rs
@@ -29,5 +29,8 @@
         );
     }
     let of = |role: &str| step.roles[role].1;
-    assert!(of("holder of limits").stream_bytes > of("node").stream_bytes, "it answers all others");
+    // One that came into office meanwhile has not answered all others for long.
+    if step.void.is_none() {
+        assert!(of("holder of limits").stream_bytes > of("node").stream_bytes, "it answers all others");
+    }
 }
