Rig: one reading of a process's memory and descriptors for both who ask

common::largest read /proc as scale::measure::usage does; it calls that now. A doc comment on sent bytes says what it counts.

--- a/crates/standin/src/rig/common.rs
+++ b/crates/standin/src/rig/common.rs
@@ -4,6 +4,7 @@
 use super::cases::CaseError;
 use super::history::Nanos;
 use super::load::{Ended, Order};
+use super::scale::measure::{usage, Usage};
 use super::wallet::{Bank, Case, Shown, ACCOUNT, SOUND};
 use crate::script::Script;
 use birchswitch_lab::chance::Chance;
@@ -145,11 +146,8 @@
 fn largest(bank: &Bank) -> (u64, usize) {
     let mut most = (0, 0);
     for pid in bank.rig.places().into_iter().filter_map(|place| bank.rig.pid(place)) {
-        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-        let line = status.lines().find(|l| l.starts_with("VmRSS:")).unwrap_or_default();
-        let memory = line.split_ascii_whitespace().nth(1).and_then(|kb| kb.parse().ok()).unwrap_or(0);
-        let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
-        most = (most.0.max(memory), most.1.max(descriptors));
+        let Usage { memory_kb, descriptors, .. } = usage(pid);
+        most = (most.0.max(memory_kb), most.1.max(descriptors));
     }
     most
 }
--- a/crates/standin/src/rig/mod.rs
+++ b/crates/standin/src/rig/mod.rs
@@ -119,7 +119,7 @@
     pub datagrams: u64,
     /// Bytes in them.
     pub datagram_bytes: u64,
-    /// Bytes over the mesh's connections, both ways of those that were made to it or by it counted at their sender.
+    /// Bytes over the mesh's connections, whichever side made them.
     pub stream_bytes: u64,
 }
 
--- a/crates/standin/src/rig/scale/mod.rs
+++ b/crates/standin/src/rig/scale/mod.rs
@@ -4,7 +4,7 @@
 //! a lease by its task, those that vote, and all others. Lines through the sizes ([`Line`]) tell what each role's cost grows by.
 
 mod fit;
-mod measure;
+pub(super) mod measure;
 mod table;
 
 use super::history::History;
