Shutdown tests: a resting client's server connection ends with its answer

`resting` left the server's connection open, and the second call's request went over it instead of a new one as soon as it had rested for the pool's 5 ms. Forced with a pause of 20 ms between the two calls: the old test fails, the new one passes. The other 48 places where a test answers and keeps a connection were read: none waits for a new one after it.

Every assertion stays.

--- a/node/tests/shutdown.rs
+++ b/node/tests/shutdown.rs
@@ -15,14 +15,15 @@
     )
 }
 
-/// A connection on which one request was answered.
-async fn resting(node: &Node, server: &Peer) -> (Wire, Wire) {
+/// A client's connection on which one request was answered. The server's own connection ends with that answer: one that
+/// stays would be used again for the next request, instead of a new one.
+async fn resting(node: &Node, server: &Peer) -> Wire {
     let mut client = node.client().await;
     client.send("unsafe", "20000m").await;
     let (mut wire, _) = server.request().await;
-    wire.answer("200 OK", "", "").await;
+    wire.answer("200 OK", "Connection: close\r\n", "").await;
     assert_eq!(client.read().await.expect("an answer").status(), 200);
-    (client, wire)
+    client
 }
 
 /// Waits until the node takes no connections any more.
@@ -63,8 +64,7 @@
 async fn a_request_that_comes_whole_in_time_is_answered() {
     let server = Peer::new().await;
     let (mut node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
-    let (mut rested, wire) = resting(&node, &server).await;
-    drop(wire);
+    let mut rested = resting(&node, &server).await;
     let mut fresh = node.client().await;
     let whole = [request("kept", "unsafe", "12345678"), request("new", "unsafe", "12345678")];
     let cut = whole[0].len() - 4;
@@ -90,9 +90,8 @@
 async fn a_request_that_stays_half_is_refused_at_the_end() {
     let server = Peer::new().await;
     let (mut node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
-    let (mut in_head, wire) = resting(&node, &server).await;
-    let (mut in_body, other) = resting(&node, &server).await;
-    drop((wire, other));
+    let mut in_head = resting(&node, &server).await;
+    let mut in_body = resting(&node, &server).await;
     let whole = request("half", "unsafe", "12345678");
     in_head.write(&whole[..20]).await;
     in_body.write(&whole[..whole.len() - 3]).await;
@@ -114,8 +113,7 @@
 async fn a_request_in_the_moment_of_the_signal_is_answered() {
     let server = Peer::new().await;
     let (mut node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
-    let (mut client, wire) = resting(&node, &server).await;
-    drop(wire);
+    let mut client = resting(&node, &server).await;
     node.signal("STOP").await;
     client.send("unsafe", "20000m").await;
     let mut fresh = node.client().await; // The system takes the connection; the node has not.
@@ -139,8 +137,7 @@
 async fn a_request_in_the_moment_of_the_closing_is_answered() {
     let server = Peer::new().await;
     let (mut node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
-    let (mut client, wire) = resting(&node, &server).await;
-    drop(wire);
+    let mut client = resting(&node, &server).await;
     node.signal("TERM").await;
     node.logged("leaving").await;
     node.signal("STOP").await;
@@ -232,8 +229,7 @@
 async fn those_that_say_nothing_do_not_delay_the_end() {
     let server = Peer::new().await;
     let (mut node, _discovery, _watch) = Node::serving(&[("s", &server)]).await;
-    let (mut rested, wire) = resting(&node, &server).await;
-    drop(wire);
+    let mut rested = resting(&node, &server).await;
     let mut silent = node.client().await;
     node.get("/health/live").await;
     let signalled = std::time::Instant::now();
