Wallet: messages and the ledger's records are held against samples of their bytes

Need: the package is about to get the field's names; nodes of two builds meet in a roll-out, and a ledger outlives its build. The samples were encoded by the build before any rename.

--- /dev/null
+++ b/crates/wallet/tests/encoding.rs
@@ -0,0 +1,72 @@
+//! The bytes of messages between nodes and of what lies on disk, against samples from 0.1.0: nodes of two builds meet in a
+//! roll-out, and a ledger outlives its build.
+
+use birchswitch_cluster::{Life, MemberId};
+use birchswitch_mesh::Who;
+use birchswitch_wallet::{
+    AccountWord, Ask, Book, Call, Entry, KeyDebit, Need, PartReport, Question, Record, Report, Said, Word,
+};
+use serde::Serialize;
+
+fn hex(value: &impl Serialize) -> String {
+    let bytes = postcard::to_stdvec(value).expect("it encodes");
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn who() -> Who {
+    Who { id: MemberId(77), life: Life { started: 1_700_000, draw: 5 } }
+}
+
+fn report() -> Report {
+    let part = PartReport { account: "t".into(), number: 3, spent: 4, back: 5, closed: true };
+    let key = KeyDebit { account: "t".into(), hash: 999, units: 2, window: 10_000 };
+    Report { number: 6, parts: vec![part], keys: vec![key] }
+}
+
+#[test]
+fn messages_between_nodes_keep_their_bytes() {
+    let need = Need { account: "t".into(), per_s: 1.5, once: 5, holds: vec![(3, 9)] };
+    let ask = Ask { number: 7, heard: 11, report: report(), needs: vec![need] };
+    assert_eq!(hex(&Question::Ask(ask)), "00070b0601017403040501010174e70702904e0101740000c03f05010309");
+    let account =
+        AccountWord { account: "t".into(), part: Some((8, 20)), keep: 29, paused: true, frozen: false };
+    let word = Word { token: 11, report: 6, accounts: vec![account] };
+    assert_eq!(hex(&Said::Word(word)), "000b060101740108141d0100");
+    assert_eq!(hex(&Said::Text(Err("no".into()))), "0101026e6f");
+    let calls = [
+        Call::Show,
+        Call::Doubts,
+        Call::TopUp("t".into(), "p".into(), 300),
+        Call::Freeze("t".into(), true),
+        Call::Settle("t".into(), 3, 4),
+    ];
+    let encoded = calls.map(|call| hex(&Question::Call(call)));
+    assert_eq!(encoded, ["0100", "0101", "010201740170ac02", "0103017401", "010401740304"]);
+}
+
+#[test]
+fn what_lies_on_disk_keeps_its_bytes() {
+    let account = || "t".to_owned();
+    let entries = [
+        Entry::Began,
+        Entry::TopUp { account: account(), id: "p".into(), units: 300 },
+        Entry::Freeze { account: account(), frozen: true },
+        Entry::Pause { account: account(), paused: true },
+        Entry::Draw { account: account(), number: 3, who: who(), units: 20, asked: 7 },
+        Entry::Draw { account: account(), number: 4, who: who(), units: 10, asked: 8 },
+        Entry::Draw { account: account(), number: 5, who: who(), units: 10, asked: 9 },
+        Entry::Report { who: who(), report: report(), time: 123_456 },
+        Entry::Reclaim { account: account(), number: 4 },
+        Entry::Doubt { account: account(), number: 5 },
+        Entry::Settle { account: account(), number: 6, spent: 1 },
+    ];
+    let mut book = Book::default();
+    entries.iter().for_each(|entry| book.apply(entry));
+    let records: Vec<Record> =
+        (1..).zip(entries).map(|(index, entry)| Record { index, token: 9, entry }).collect();
+    assert_eq!(hex(&records), "0b01090002090101740170ac020309020174010409030174010509040174034da0e1670514070609040174044da0e167050a080709040174054da0e167050a090809054da0e167050601017403040501010174e70702904ec0c4070909060174040a09070174050b090801740601");
+    assert_eq!(
+        hex(&book),
+        "010174ac02040001054da0e167050a0000090101017001e707d09208010106014da0e1670506c0c407c0c407"
+    );
+}
