--- a/crates/wallet/benches/asking.rs
+++ b/crates/wallet/benches/asking.rs
@@ -4,46 +4,56 @@
 mod nodes;
 
 use birchswitch_mesh::Time;
-use birchswitch_wallet::{AccountWord, Prices, Purse, Terms, Word};
+use birchswitch_wallet::{AccountGrant, AccountTerms, LocalAllotments, Prices, RenewalResponse};
 use criterion::{criterion_group, criterion_main, Criterion};
 use nodes::{fresh, start, top_up};
 use std::time::Duration;
 
-/// A purse with units enough for all of a bench.
-fn purse() -> Purse {
+/// Allotments with units enough for all of a bench.
+fn allotments() -> LocalAllotments {
     let prices = Prices { classes: vec![1], per_ms: 0 };
-    let terms =
-        Terms { account: "t".into(), prices, overdraft: 0, low: 1, resume: 1, ahead: Duration::from_secs(2) };
+    let terms = AccountTerms {
+        account: "t".into(),
+        prices,
+        overdraft: 0,
+        low: 1,
+        resume: 1,
+        ahead: Duration::from_secs(2),
+    };
     let lives = Duration::from_secs(3600);
-    let mut purse = Purse::new(&[terms], &["t".to_owned()], &[lives], lives);
+    let mut local = LocalAllotments::new(&[terms], &["t".to_owned()], &[lives], lives);
     let now = Time::from_secs(1);
     // Without a part, but it is asked for.
-    assert!(purse.reserve(now, (0, 0), None, None).is_err());
-    let ask = purse.ask(now).expect("a question");
+    assert!(local.reserve(now, (0, 0), None, None).is_err());
+    let request = local.prepare_renewal(now).expect("a renewal");
     let units = u64::MAX / 4;
-    let account = AccountWord {
+    let account = AccountGrant {
         account: "t".into(),
-        part: Some((1, units)),
+        allotment: Some((1, units)),
         keep: units,
         paused: false,
         frozen: false,
     };
-    purse.apply(now, &ask, &Word { token: 1, report: ask.report.number, accounts: vec![account] });
-    purse
+    local.apply(
+        now,
+        &request,
+        &RenewalResponse { token: 1, report: request.report.number, accounts: vec![account] },
+    );
+    local
 }
 
 fn asking(c: &mut Criterion) {
-    let mut held = purse();
+    let mut held = allotments();
     c.bench_function("from a part that is held", |b| {
         b.iter(|| {
-            let reserved =
+            let reservation =
                 held.reserve(Time::from_secs(2), (0, 0), None, None).expect("room").expect("it costs");
-            held.settle(reserved, true);
+            held.settle(reservation, true);
         })
     });
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
     let nodes = start(fresh(), None);
-    nodes.keeps(0, 10);
+    nodes.elect(0, 10);
     runtime.block_on(nodes.calls(0, top_up("first", 1)));
     let mut count = 0;
     c.bench_function("the ledger asked: a majority of three on disk", |b| {
--- a/crates/wallet/src/account/apply.rs
+++ b/crates/wallet/src/account/apply.rs
@@ -1,38 +1,40 @@
-//! What an entry makes of the accounts.
+//! What each entry does to the state.
 
-use super::{Account, Book, Entry, KeyDebit, Part, PartReport, Report, KEYS, TOP_UPS};
+use super::{Account, Allotment, AllotmentReport, Entry, KeyDebit, LedgerState, Report};
+use super::{MAX_KEYS, MAX_TOP_UP_IDS};
 use birchswitch_mesh::Who;
 
-/// Keys after which those whose windows are over are forgotten.
-const PRUNE: usize = 4096;
-/// Reports of processes that said nothing for so long are forgotten, in milliseconds of the ledger's time.
-const REPORTS: u64 = 24 * 3600 * 1000;
+/// Every time that so many keys have come, those whose windows are over are forgotten.
+const PRUNE_KEYS_EVERY: usize = 4096;
+/// With more processes than this, reports older than [`REPORT_RETENTION_MS`] are forgotten.
+const MAX_REPORTS: usize = 4096;
+/// In milliseconds of the ledger's time.
+const REPORT_RETENTION_MS: u64 = 24 * 3600 * 1000;
 
-impl Book {
-    /// Takes up an entry.
+impl LedgerState {
+    /// Applies an entry.
     pub fn apply(&mut self, entry: &Entry) {
         match entry {
-            Entry::Began => {}
+            Entry::TermBegan => {}
             Entry::TopUp { account, id, units } => self.account(account).top_up(id, *units),
             Entry::Freeze { account, frozen } => self.account(account).frozen = *frozen,
             Entry::Pause { account, paused } => self.account(account).paused = *paused,
-            Entry::Draw { account, number, who, units, asked } => {
-                self.next = self.next.max(number + 1);
-                let (who, units, asked) = (*who, *units, *asked);
-                let part = Part { who, units, spent: 0, back: 0, asked, doubt: false };
-                self.account(account).parts.insert(*number, part);
+            Entry::Allot { account, number, who, units, sequence } => {
+                self.next_allotment = self.next_allotment.max(number + 1);
+                let (who, units, sequence) = (*who, *units, *sequence);
+                let allotment = Allotment { who, units, spent: 0, returned: 0, sequence, in_doubt: false };
+                self.account(account).allotments.insert(*number, allotment);
             }
             Entry::Report { who, report, time } => self.report(*who, report, *time),
-            Entry::Reclaim { account, number } => drop(self.account(account).parts.remove(number)),
-            Entry::Doubt { account, number } => {
-                self.account(account).parts.get_mut(number).iter_mut().for_each(|p| p.doubt = true);
+            Entry::Reclaim { account, number } => {
+                self.account(account).allotments.remove(number);
             }
-            Entry::Settle { account, number, spent } => {
-                let account = self.account(account);
-                if let Some(part) = account.parts.remove(number) {
-                    account.spent += spent.clamp(&part.spent, &part.units) - part.spent;
+            Entry::MarkInDoubt { account, number } => {
+                if let Some(allotment) = self.account(account).allotments.get_mut(number) {
+                    allotment.in_doubt = true;
                 }
             }
+            Entry::Settle { account, number, spent } => self.account(account).settle(*number, *spent),
         }
     }
 
@@ -43,184 +45,75 @@
     fn report(&mut self, who: Who, report: &Report, time: u64) {
         self.time = self.time.max(time);
         let now = self.time;
-        for part in &report.parts {
-            self.account(&part.account).settle(who, part);
+        for allotment in &report.allotments {
+            self.account(&allotment.account).report(who, allotment);
         }
-        let last = self.reports.entry(who).or_default();
-        if report.number > last.0 {
-            *last = (report.number, now);
+        let latest = self.reports.entry(who).or_default();
+        if report.number > latest.0 {
+            *latest = (report.number, now);
             for key in &report.keys {
-                self.account(&key.account).key(key, now);
+                self.account(&key.account).debit_key(key, now);
             }
         }
-        if self.reports.len() > 4096 {
-            self.reports.retain(|_, (_, at)| now < *at + REPORTS);
+        if self.reports.len() > MAX_REPORTS {
+            self.reports.retain(|_, (_, at)| now < *at + REPORT_RETENTION_MS);
         }
     }
 }
 
 impl Account {
     fn top_up(&mut self, id: &str, units: u64) {
-        if self.top_ups.iter().any(|t| t == id) {
+        if self.has_top_up(id) {
             return;
         }
-        self.topped = self.topped.saturating_add(units);
-        self.top_ups.push_back(id.to_owned());
-        if self.top_ups.len() > TOP_UPS {
-            self.top_ups.pop_front();
+        self.topped_up = self.topped_up.saturating_add(units);
+        self.top_up_ids.push_back(id.to_owned());
+        if self.top_up_ids.len() > MAX_TOP_UP_IDS {
+            self.top_up_ids.pop_front();
         }
     }
 
-    /// Whether a payment is known already.
-    pub fn knows(&self, id: &str) -> bool {
-        self.top_ups.iter().any(|t| t == id)
+    /// Whether a payment with this id was credited.
+    pub fn has_top_up(&self, id: &str) -> bool {
+        self.top_up_ids.iter().any(|known| known == id)
     }
 
-    /// Sums only ever rise, and never beyond the part.
-    fn settle(&mut self, who: Who, report: &PartReport) {
-        let Some(part) = self.parts.get_mut(&report.number).filter(|p| p.who == who) else { return };
-        let spent = report.spent.clamp(part.spent, part.units - part.back);
-        self.spent += spent - part.spent;
-        part.spent = spent;
-        part.back = report.back.clamp(part.back, part.units - part.spent);
+    /// Applies a process's report of its own allotment. Totals only rise, and never beyond the allotment.
+    fn report(&mut self, who: Who, report: &AllotmentReport) {
+        let allotment = self.allotments.get_mut(&report.number);
+        let Some(allotment) = allotment.filter(|allotment| allotment.who == who) else { return };
+        let spent = report.spent.clamp(allotment.spent, allotment.units - allotment.returned);
+        self.spent += spent - allotment.spent;
+        allotment.spent = spent;
+        allotment.returned = report.returned.clamp(allotment.returned, allotment.units - allotment.spent);
         if report.closed {
-            self.parts.remove(&report.number);
+            self.allotments.remove(&report.number);
         }
     }
 
-    /// The second debit for a key within its window is given back.
-    fn key(&mut self, key: &KeyDebit, now: u64) {
-        match self.keys.get(&key.hash) {
-            Some(until) if now < *until => {
-                let back = key.units.min(self.spent);
-                self.spent -= back;
-                self.twice += back;
-            }
-            _ => {
-                // Those whose windows are over go now and then, so that they cost no more than they have to.
-                if self.keys.len() % PRUNE == PRUNE - 1 || self.keys.len() >= KEYS {
-                    self.keys.retain(|_, until| now < *until);
-                }
-                if self.keys.len() < KEYS {
-                    self.keys.insert(key.hash, now + key.window);
-                }
-            }
+    fn settle(&mut self, number: u64, spent: u64) {
+        if let Some(allotment) = self.allotments.remove(&number) {
+            self.spent += spent.clamp(allotment.spent, allotment.units) - allotment.spent;
         }
     }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use birchswitch_cluster::{Life, MemberId};
-    use proptest::prelude::*;
-
-    fn who(n: u64) -> Who {
-        Who { id: MemberId(n), life: Life::default() }
-    }
-
-    fn top_up(id: &str, units: u64) -> Entry {
-        Entry::TopUp { account: "t".into(), id: id.into(), units }
-    }
-
-    fn draw(number: u64, units: u64) -> Entry {
-        Entry::Draw { account: "t".into(), number, who: who(number), units, asked: 1 }
-    }
 
-    fn reports(n: u64, number: u64, spent: u64, back: u64, closed: bool) -> Entry {
-        let part = PartReport { account: "t".into(), number: n, spent, back, closed };
-        Entry::Report {
-            who: who(n),
-            report: Report { number, parts: vec![part], keys: Vec::new() },
-            time: number,
+    /// Refunds the debit if its key was debited before within its window.
+    fn debit_key(&mut self, key: &KeyDebit, now: u64) {
+        let debited_before = self.keys.get(&key.hash).is_some_and(|until| now < *until);
+        if debited_before {
+            let refund = key.units.min(self.spent);
+            self.spent -= refund;
+            self.refunded += refund;
+            return;
         }
-    }
-
-    fn book(entries: &[Entry]) -> Book {
-        let mut book = Book::default();
-        entries.iter().for_each(|e| book.apply(e));
-        book
-    }
-
-    fn sums(book: &Book) -> [i128; 4] {
-        let a = &book.accounts["t"];
-        [a.balance(), a.outstanding().into(), a.spent.into(), a.in_doubt().into()]
-    }
-
-    #[test]
-    fn a_payment_counts_once() {
-        let b = book(&[top_up("a", 100), top_up("b", 5), top_up("a", 100), top_up("a", 7)]);
-        assert_eq!(sums(&b), [105, 0, 0, 0]);
-    }
-
-    #[test]
-    fn parts_are_settled_by_sums_and_a_part_in_doubt_counts_until_somebody_says() {
-        let mut b = book(&[top_up("a", 100), draw(1, 30), draw(2, 20)]);
-        assert_eq!(sums(&b), [50, 50, 0, 0]);
-        b.apply(&reports(1, 1, 10, 5, false));
-        b.apply(&reports(1, 1, 10, 5, false));
-        assert_eq!(sums(&b), [55, 35, 10, 0]);
-        b.apply(&Entry::Doubt { account: "t".into(), number: 1 });
-        assert_eq!(sums(&b), [55, 20, 10, 15]);
-        // It comes back and says so; less than before, or more than the part, is not believed.
-        b.apply(&reports(1, 2, 3, 0, false));
-        assert_eq!(sums(&b), [55, 20, 10, 15]);
-        b.apply(&reports(1, 3, 1000, 0, true));
-        assert_eq!(sums(&b), [55, 20, 25, 0]);
-        b.apply(&Entry::Doubt { account: "t".into(), number: 2 });
-        b.apply(&Entry::Settle { account: "t".into(), number: 2, spent: 4 });
-        assert_eq!(sums(&b), [71, 0, 29, 0]);
-    }
-
-    #[test]
-    fn another_process_says_nothing_about_a_part() {
-        let mut b = book(&[top_up("a", 100), draw(1, 30)]);
-        let part = PartReport { account: "t".into(), number: 1, spent: 30, back: 0, closed: true };
-        let report = Report { number: 1, parts: vec![part], keys: Vec::new() };
-        b.apply(&Entry::Report { who: who(2), report, time: 1 });
-        assert_eq!(sums(&b), [70, 30, 0, 0]);
-    }
-
-    #[test]
-    fn the_second_debit_for_a_key_is_given_back_within_its_window_alone() {
-        let keyed = |n: u64, number: u64, time: u64, spent: u64| {
-            let part = PartReport { account: "t".into(), number: n, spent, back: 0, closed: false };
-            let key = KeyDebit { account: "t".into(), hash: 77, units: 3, window: 1000 };
-            Entry::Report { who: who(n), report: Report { number, parts: vec![part], keys: vec![key] }, time }
-        };
-        let mut b = book(&[top_up("a", 100), draw(1, 30), draw(2, 20), keyed(1, 1, 10, 3)]);
-        assert_eq!(sums(&b)[2], 3);
-        b.apply(&keyed(1, 1, 11, 3));
-        assert_eq!(sums(&b)[2], 3, "the same report again");
-        b.apply(&keyed(2, 1, 900, 3));
-        assert_eq!((sums(&b)[2], b.accounts["t"].twice), (3, 3), "the same key at another node");
-        b.apply(&keyed(2, 2, 1011, 6));
-        assert_eq!(sums(&b)[2], 6, "its window is over");
-    }
-
-    proptest! {
-        /// Whatever entries come, in whatever order: what was topped up is all there, and no part spends more than it is.
-        #[test]
-        fn topped_up_is_balance_outstanding_spent_and_in_doubt(
-            steps in prop::collection::vec((0u8..7, 1u64..6, 0u64..50, 0u64..50), 0..60),
-        ) {
-            let mut b = book(&[top_up("first", 200)]);
-            for (n, (kind, part, x, y)) in steps.into_iter().enumerate() {
-                let account = || "t".to_owned();
-                b.apply(&match kind {
-                    0 => top_up(&format!("{x}"), y),
-                    1 if !b.accounts["t"].parts.contains_key(&part) => draw(part, x),
-                    2 => reports(part, n as u64, x, y, false),
-                    3 => reports(part, n as u64, x, y, true),
-                    4 => Entry::Doubt { account: account(), number: part },
-                    5 => Entry::Settle { account: account(), number: part, spent: x },
-                    _ => Entry::Reclaim { account: account(), number: part },
-                });
-                let a = &b.accounts["t"];
-                let sum: i128 = sums(&b).iter().sum();
-                prop_assert_eq!(sum, i128::from(a.topped));
-                prop_assert!(a.parts.values().all(|p| p.spent + p.back <= p.units));
-            }
+        if self.keys.len() % PRUNE_KEYS_EVERY == PRUNE_KEYS_EVERY - 1 || self.keys.len() >= MAX_KEYS {
+            self.keys.retain(|_, until| now < *until);
+        }
+        if self.keys.len() < MAX_KEYS {
+            self.keys.insert(key.hash, now + key.window);
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/wallet/src/account/entry.rs
+++ b/crates/wallet/src/account/entry.rs
@@ -1,43 +1,43 @@
-//! What the ledger holds: each entry whole by itself, and the same whoever replays it.
+//! The ledger's entries. Replaying them in order gives the same state everywhere.
 
 use birchswitch_mesh::Who;
 use serde::{Deserialize, Serialize};
 
-/// What came of a part so far. Sums: hearing one twice changes nothing.
+/// What became of an allotment so far. The figures are totals, so that applying a report twice changes nothing.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartReport {
+pub struct AllotmentReport {
     /// The account.
     pub account: String,
-    /// The part's number.
+    /// The allotment's number.
     pub number: u64,
-    /// Debited from it so far.
+    /// Units debited so far.
     pub spent: u64,
-    /// Given back of it so far.
-    pub back: u64,
-    /// Nothing more will come of it: the rest is given back too.
+    /// Units returned so far.
+    pub returned: u64,
+    /// Nothing more is spent from it: the rest is returned.
     pub closed: bool,
 }
 
-/// A debit for a key.
+/// A debit for a request with an idempotency key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyDebit {
     /// The account.
     pub account: String,
-    /// The key's hash with its class and tenant.
+    /// Hash of the key, its class and its tenant.
     pub hash: u64,
-    /// Debited.
+    /// Units debited.
     pub units: u64,
-    /// For how long another of the same key is the same request, in milliseconds.
+    /// For how long the same key means the same request, in milliseconds.
     pub window: u64,
 }
 
-/// What a process says of its parts, in turn.
+/// What a process reports of its allotments.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
-    /// Counted by the process; the same again is the same report.
+    /// Counts up within a process; the same number is the same report.
     pub number: u64,
-    /// Its parts.
-    pub parts: Vec<PartReport>,
+    /// Its allotments.
+    pub allotments: Vec<AllotmentReport>,
     /// Debits for keys since the report before.
     pub keys: Vec<KeyDebit>,
 }
@@ -45,74 +45,74 @@
 /// One entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Entry {
-    /// A writer begins.
-    Began,
-    /// Somebody paid.
+    /// A leader's first entry of its term.
+    TermBegan,
+    /// A payment.
     TopUp {
         /// The account.
         account: String,
-        /// The payment's: the same again is the same payment.
+        /// The payment's id: a second entry with it is ignored.
         id: String,
-        /// How much.
+        /// Units credited.
         units: u64,
     },
-    /// An operator stops an account, or lets it go on.
+    /// An operator stopped an account, or let it go on.
     Freeze {
         /// The account.
         account: String,
-        /// Which.
+        /// Whether it is stopped.
         frozen: bool,
     },
-    /// It ran out, or was topped up enough.
+    /// The balance ran out, or was topped up enough.
     Pause {
         /// The account.
         account: String,
-        /// Which.
+        /// Whether it ran out.
         paused: bool,
     },
-    /// A process gets a part.
-    Draw {
+    /// A process gets an allotment.
+    Allot {
         /// The account.
         account: String,
-        /// The part's number.
+        /// The allotment's number.
         number: u64,
         /// The process.
         who: Who,
-        /// How much.
+        /// Its units.
         units: u64,
-        /// In answer to which of its questions.
-        asked: u64,
+        /// Sequence number of the renewal that it answers.
+        sequence: u64,
     },
-    /// A process reports.
+    /// A process's report.
     Report {
         /// The process.
         who: Who,
-        /// What.
+        /// The report.
         report: Report,
-        /// The ledger's time.
+        /// The ledger's time in milliseconds.
         time: u64,
     },
-    /// A part that its process never got: it asked anew without it.
+    /// An allotment whose response was lost: its process renewed without it.
     Reclaim {
         /// The account.
         account: String,
-        /// The part.
+        /// The allotment.
         number: u64,
     },
-    /// A part whose process's life or time is over.
-    Doubt {
+    /// An allotment whose process ended, or was silent for too long, without a last report.
+    MarkInDoubt {
         /// The account.
         account: String,
-        /// The part.
+        /// The allotment.
         number: u64,
     },
-    /// An operator says what came of a part in doubt.
+    /// An operator settled an allotment in doubt.
     Settle {
         /// The account.
         account: String,
-        /// The part.
+        /// The allotment.
         number: u64,
-        /// Spent of it, altogether.
+        /// Units spent of it, in all.
         spent: u64,
     },
 }
--- a/crates/wallet/src/account/mod.rs
+++ b/crates/wallet/src/account/mod.rs
@@ -1,60 +1,60 @@
-//! The accounts as the ledger has them, and what each entry makes of them: plain functions, the same on whoever replays them.
+//! Accounts as the ledger has them, and what each entry does to them: plain functions, deterministic wherever entries are replayed.
 
-pub mod allotment;
+pub(crate) mod allocator;
 mod apply;
-pub(crate) mod decide;
 mod entry;
+pub(crate) mod targets;
 
-pub use allotment::Terms;
-pub use entry::{Entry, KeyDebit, PartReport, Report};
+pub use entry::{AllotmentReport, Entry, KeyDebit, Report};
+pub use targets::AccountTerms;
 
 use birchswitch_mesh::Who;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
-/// Ids of top-ups that are remembered for each account.
-pub(crate) const TOP_UPS: usize = 100_000;
-/// Keys that are remembered for each account.
-pub(crate) const KEYS: usize = 1_000_000;
+/// Payment ids that are remembered for each account.
+pub(crate) const MAX_TOP_UP_IDS: usize = 100_000;
+/// Idempotency keys that are remembered for each account.
+pub(crate) const MAX_KEYS: usize = 1_000_000;
 
-/// A part of a balance that one process may spend.
+/// Units of an account that one process may spend.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Part {
-    /// Whose.
+pub struct Allotment {
+    /// The process.
     pub who: Who,
-    /// How much it was.
+    /// Its units at first.
     pub units: u64,
-    /// What of it was debited, as far as is known.
+    /// Units debited, as far as reported.
     pub spent: u64,
-    /// What of it was given back.
-    pub back: u64,
-    /// In answer to which of that process's questions it was drawn.
-    pub asked: u64,
-    /// Its process's life or time is over and it has not said what came of it.
-    pub doubt: bool,
+    /// Units returned, as far as reported.
+    pub returned: u64,
+    /// Sequence number of the renewal that it answered.
+    pub sequence: u64,
+    /// Its process ended, or was silent for too long, without a last report.
+    pub in_doubt: bool,
 }
 
-impl Part {
-    /// What is neither spent nor given back.
-    pub fn rest(&self) -> u64 {
-        self.units.saturating_sub(self.spent.saturating_add(self.back))
+impl Allotment {
+    /// Units neither spent nor returned.
+    pub fn remaining(&self) -> u64 {
+        self.units.saturating_sub(self.spent.saturating_add(self.returned))
     }
 }
 
-/// One tenant's.
+/// One tenant's account.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Account {
-    /// All that was ever paid in.
-    pub topped: u64,
-    /// All that was ever debited.
+    /// Units ever paid in.
+    pub topped_up: u64,
+    /// Units debited, less what was refunded.
     pub spent: u64,
-    /// Of that, nothing: what was debited a second time for a key, and given back.
-    pub twice: u64,
-    /// Parts that are out, by their numbers.
-    pub parts: BTreeMap<u64, Part>,
-    /// Top-ups' ids, the latest last.
-    pub(crate) top_ups: VecDeque<String>,
-    /// Keys that were debited, and until when they count, in milliseconds of the ledger's time.
+    /// Units that were debited a second time for a key, and refunded.
+    pub refunded: u64,
+    /// Allotments that are out, by number.
+    pub allotments: BTreeMap<u64, Allotment>,
+    /// Ids of payments, the latest last.
+    pub(crate) top_up_ids: VecDeque<String>,
+    /// Hashes of keys that were debited, and until when they count, in milliseconds of the ledger's time.
     pub(crate) keys: BTreeMap<u64, u64>,
     /// An operator stopped it.
     pub frozen: bool,
@@ -63,33 +63,37 @@
 }
 
 impl Account {
-    /// What no part holds: topped up = balance + outstanding + spent + in doubt.
+    /// Units that no allotment holds: topped up = balance + outstanding + spent + in doubt.
     pub fn balance(&self) -> i128 {
-        i128::from(self.topped)
+        i128::from(self.topped_up)
             - i128::from(self.spent)
             - i128::from(self.outstanding())
             - i128::from(self.in_doubt())
     }
 
-    /// What parts may still spend.
+    /// Units that processes may still spend.
     pub fn outstanding(&self) -> u64 {
-        self.parts.values().filter(|p| !p.doubt).map(Part::rest).sum()
+        self.remaining_where(|allotment| !allotment.in_doubt)
     }
 
-    /// What parts may have spent whose processes did not say.
+    /// Units that processes may have spent which did not report.
     pub fn in_doubt(&self) -> u64 {
-        self.parts.values().filter(|p| p.doubt).map(Part::rest).sum()
+        self.remaining_where(|allotment| allotment.in_doubt)
+    }
+
+    fn remaining_where(&self, counts: impl Fn(&Allotment) -> bool) -> u64 {
+        self.allotments.values().filter(|allotment| counts(allotment)).map(Allotment::remaining).sum()
     }
 }
 
-/// All accounts.
+/// The state that the ledger's entries add up to.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Book {
-    /// By the tenants' names.
+pub struct LedgerState {
+    /// Accounts by tenant.
     pub accounts: BTreeMap<String, Account>,
-    /// The number of the part that is drawn next.
-    pub next: u64,
-    /// The last report of each process that was taken up, with the time of it.
+    /// Number of the next allotment.
+    pub next_allotment: u64,
+    /// Number of each process's latest report, and the ledger's time of it.
     pub(crate) reports: BTreeMap<Who, (u64, u64)>,
     /// The ledger's time: milliseconds that never go back.
     pub time: u64,
--- /dev/null
+++ b/crates/wallet/src/leader/mod.rs
@@ -0,0 +1,226 @@
+//! The leader: the node that holds the wallet's lease. It writes the ledger, and responds once what it says is on a majority's disks.
+
+mod admin;
+
+use crate::account::allocator::{Allocator, Rules};
+use crate::account::{AccountTerms, Entry, LedgerState};
+use crate::ledger::Writer;
+use crate::message::{RenewalResponse, Request, Response};
+use birchswitch_cluster::MemberId;
+use birchswitch_mesh::{Mesh, Served, Who};
+use bytes::Bytes;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{interval, sleep};
+
+/// The mesh's lane for the wallet.
+pub const LANE: u8 = 2;
+/// The name of the task, and of its lease.
+pub const TASK: &str = "wallet";
+/// Most requests that wait for the leader.
+const MAX_PENDING: usize = 1024;
+/// Most requests whose entries are written together.
+const MAX_BATCH: usize = 256;
+/// Between checks for expired sessions, and between attempts to begin a term.
+const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+
+/// A time for which this node leads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeadershipTerm {
+    /// The lease's fencing token.
+    pub token: u64,
+}
+
+/// Times and safeguards of a leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaderSettings {
+    /// For how long allotments may be spent from.
+    pub ttl: Duration,
+    /// The longest that a request may run.
+    pub longest_request: Duration,
+    /// An allotment of a process that ended stays in doubt until it is settled. Otherwise it is reclaimed.
+    pub keep_in_doubt: bool,
+    /// A payment is credited once by its id.
+    pub unique_top_ups: bool,
+}
+
+struct PendingRequest {
+    who: Who,
+    request: Request,
+    respond: oneshot::Sender<Response>,
+}
+
+/// This node's part in leading: it serves requests whenever it is told that it leads.
+pub struct Leader {
+    term: watch::Sender<Option<LeadershipTerm>>,
+}
+
+/// What a leader needs in every term.
+struct Context {
+    mesh: Mesh,
+    terms: Vec<AccountTerms>,
+    rules: Rules,
+    /// The nodes that hold the ledger.
+    nodes: Vec<MemberId>,
+}
+
+impl Leader {
+    /// Serves on the mesh from now on, whenever it leads. `nodes` hold the ledger.
+    pub fn serve(
+        mesh: &Mesh,
+        terms: Vec<AccountTerms>,
+        settings: LeaderSettings,
+        nodes: Vec<MemberId>,
+    ) -> Arc<Self> {
+        let (term, terms_of_leadership) = watch::channel(None);
+        let (pending, requests) = mpsc::channel::<PendingRequest>(MAX_PENDING);
+        let current = terms_of_leadership.clone();
+        let serve = move |who: Who, bytes: Bytes| {
+            let (pending, current) = (pending.clone(), current.clone());
+            Box::pin(async move {
+                let leads = current.borrow().is_some();
+                if leads {
+                    enqueue(&pending, who, &bytes).await
+                } else {
+                    None
+                }
+            }) as Served
+        };
+        mesh.serve(LANE, Arc::new(serve));
+        let clock = mesh.clock();
+        let rules = Rules {
+            ttl: settings.ttl,
+            expiry: clock.longest(settings.ttl) + clock.longest(settings.longest_request),
+            keep_in_doubt: settings.keep_in_doubt,
+            unique_top_ups: settings.unique_top_ups,
+        };
+        let context = Context { mesh: mesh.clone(), terms, rules, nodes };
+        mesh.spawn(lead_whenever_told(context, terms_of_leadership, requests));
+        Arc::new(Leader { term })
+    }
+
+    /// This node leads from now on, or does not.
+    pub fn set_term(&self, term: Option<LeadershipTerm>) {
+        self.term.send_if_modified(|current| {
+            let changed = *current != term;
+            *current = term;
+            changed
+        });
+    }
+}
+
+/// Has a request answered by the task that leads; none: it is invalid, there are too many, or the term ends.
+async fn enqueue(pending: &mpsc::Sender<PendingRequest>, who: Who, bytes: &[u8]) -> Option<Bytes> {
+    let request: Request = postcard::from_bytes(bytes).ok()?;
+    if matches!(&request, Request::Renew(renewal) if !renewal.is_valid()) {
+        return None;
+    }
+    let (respond, response) = oneshot::channel();
+    pending.try_send(PendingRequest { who, request, respond }).ok()?;
+    Some(postcard::to_stdvec(&response.await.ok()?).ok()?.into())
+}
+
+async fn lead_whenever_told(
+    context: Context,
+    mut terms: watch::Receiver<Option<LeadershipTerm>>,
+    mut requests: mpsc::Receiver<PendingRequest>,
+) {
+    loop {
+        if terms.wait_for(Option::is_some).await.is_err() {
+            return;
+        }
+        let term = *terms.borrow();
+        let Some(term) = term else { continue };
+        let mut changes = terms.clone();
+        tokio::select! {
+            why = lead(&context, term.token, &mut requests) => {
+                tracing::warn!(target: "wallet", kind = "halts", token = term.token, why);
+                sleep(CHECK_INTERVAL).await;
+            }
+            () = async { drop(changes.wait_for(|now| *now != Some(term)).await) } => {
+                tracing::info!(target: "wallet", kind = "ends", token = term.token);
+            }
+        }
+        // Those that wait renew again, with whoever leads then.
+        while requests.try_recv().is_ok() {}
+    }
+}
+
+/// Leads for a term, until the ledger can't be written any more. Returns why.
+async fn lead(context: &Context, token: u64, requests: &mut mpsc::Receiver<PendingRequest>) -> String {
+    let (mut writer, mut state) = match Writer::begin(&context.mesh, &context.nodes, token).await {
+        Ok(begun) => begun,
+        Err(error) => return error.to_string(),
+    };
+    tracing::info!(target: "wallet", kind = "wallet_kept", token);
+    let mut allocator = Allocator::new(context.mesh.clock().now());
+    let mut check = interval(CHECK_INTERVAL);
+    loop {
+        let mut batch = Vec::new();
+        tokio::select! {
+            _ = check.tick() => {}
+            received = requests.recv_many(&mut batch, MAX_BATCH) => {
+                if received == 0 {
+                    return "no more questions".to_owned();
+                }
+            }
+        }
+        let now = context.mesh.clock().now();
+        let mut entries = allocator.expire(&mut state, &context.rules, now);
+        let mut responses = Vec::new();
+        for PendingRequest { who, request, respond } in batch {
+            let response = match request {
+                Request::Renew(renewal) => {
+                    let times = (now, unix_time_ms());
+                    let rules = (context.terms.as_slice(), &context.rules);
+                    let (new, accounts) = allocator.renew(&mut state, rules, times, who, &renewal);
+                    entries.extend(new);
+                    Response::Renewed(RenewalResponse { token, report: renewal.report.number, accounts })
+                }
+                Request::Admin(command) => {
+                    let (terms, unique) = (&context.terms, context.rules.unique_top_ups);
+                    Response::Admin(admin::execute(terms, unique, &mut state, &command, &mut entries))
+                }
+            };
+            responses.push((respond, response));
+        }
+        log(&entries, &state);
+        if !entries.is_empty() {
+            if let Err(error) = writer.write(entries).await {
+                return error.to_string();
+            }
+            writer.compact(&state);
+        }
+        for (respond, response) in responses {
+            // Whoever asked may have given up.
+            let _ = respond.send(response);
+        }
+    }
+}
+
+fn unix_time_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// Logs what operators want to know of.
+fn log(entries: &[Entry], state: &LedgerState) {
+    for entry in entries {
+        match entry {
+            Entry::Pause { account, paused: true } => {
+                tracing::warn!(target: "wallet", kind = "paused", account = account.as_str());
+            }
+            Entry::Pause { account, paused: false } => {
+                tracing::info!(target: "wallet", kind = "resumed", account = account.as_str());
+            }
+            Entry::TopUp { account, units, .. } => {
+                let topped = state.accounts.get(account).map_or(0, |a| a.topped_up);
+                tracing::info!(target: "wallet", kind = "topped_up", account = account.as_str(), units, topped);
+            }
+            Entry::MarkInDoubt { account, number } => {
+                tracing::warn!(target: "wallet", kind = "in_doubt", account = account.as_str(), part = number);
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/wallet/src/ledger/mod.rs
+++ b/crates/wallet/src/ledger/mod.rs
@@ -6,9 +6,9 @@
 //! writer can miss it. This is the log of Viewstamped Replication (Liskov and Cowling 2012) with views by lease, and its rule on
 //! records of earlier views is Raft's (Ongaro and Ousterhout 2014, section 5.4.2).
 
-mod follow;
 mod recover;
 pub mod replica;
+mod replication;
 // Its errors are the library's, which are large and rare.
 #[allow(clippy::result_large_err)]
 pub mod store;
@@ -33,37 +33,37 @@
     pub entry: Entry,
 }
 
-/// What a writer asks of a replica.
+/// A writer's request to a replica.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum Op {
-    /// To take nothing of lower tokens any more, and to say what it has.
+pub(crate) enum ReplicaRequest {
+    /// Reject lower tokens from now on, and tell how far the log goes.
     Promise { token: u64 },
-    /// To hold these records after the one of that index and token, and none else after it.
-    Append { token: u64, after: (u64, u64), records: Vec<Record> },
-    /// To hold this snapshot in the place of all records up to that one: a piece of it, of so many bytes in all.
-    Install { token: u64, upto: (u64, u64), offset: u64, total: u64, bytes: Vec<u8> },
-    /// To say what it holds: a piece of its snapshot from there on.
-    Snapshot { token: u64, offset: u64 },
-    /// To say what it holds: records from that index on.
-    Records { token: u64, from: u64 },
+    /// Append these records after the one of that index and token, in the place of whatever follows it.
+    Append { token: u64, previous: (u64, u64), records: Vec<Record> },
+    /// Replace all records up to that token and index by a snapshot: a chunk of it, and its size.
+    InstallSnapshot { token: u64, up_to: (u64, u64), offset: u64, total: u64, bytes: Vec<u8> },
+    /// Read a chunk of the snapshot.
+    ReadSnapshot { token: u64, offset: u64 },
+    /// Read records from that index on.
+    ReadRecords { token: u64, from: u64 },
 }
 
-/// What it answers.
+/// A replica's response.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum Re {
-    /// It has promised a higher token.
-    Lower { promised: u64 },
-    /// It promises, and holds this.
-    Holds(store::Head),
-    /// It holds all up to that index, on its disk.
+pub(crate) enum ReplicaResponse {
+    /// It promised a higher token.
+    StaleToken { promised: u64 },
+    /// It promised; its log goes so far.
+    Promised(store::Head),
+    /// All records up to that index are on its disk.
     Stored(u64),
-    /// It does not hold the record after which these were to come.
+    /// It does not hold the previous record.
     Mismatch(store::Head),
-    /// A piece of its snapshot, of so many bytes in all.
-    Piece { total: u64, bytes: Vec<u8> },
-    /// Records that it holds.
+    /// A chunk of its snapshot, and the snapshot's size.
+    SnapshotChunk { total: u64, bytes: Vec<u8> },
+    /// Records.
     Records(Vec<Record>),
 }
 
 /// Most bytes of records or of a snapshot in one message.
-pub(crate) const PIECE: usize = 96 << 10;
+pub(crate) const MAX_CHUNK: usize = 96 << 10;
--- a/crates/wallet/src/ledger/recover.rs
+++ b/crates/wallet/src/ledger/recover.rs
@@ -1,115 +1,119 @@
-//! How a writer begins: a majority promises, and the furthest log among them is taken up.
+//! How a writer begins: a majority promises, and the furthest log among them is recovered up.
 
 use super::store::Head;
-use super::{Op, Re, Record, LEDGER_LANE};
-use crate::account::Book;
+use super::{Record, ReplicaRequest, ReplicaResponse, LEDGER_LANE};
+use crate::account::LedgerState;
 use birchswitch_cluster::MemberId;
 use birchswitch_mesh::Mesh;
 use bytes::Bytes;
 use std::time::Duration;
 
-/// For one answer.
-pub(crate) const PATIENCE: Duration = Duration::from_millis(1500);
+/// For one response.
+pub(crate) const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Why a writer could not begin, or go on.
+/// Why a writer could not begin, or has to stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub(crate) enum Halt {
+pub(crate) enum WriterError {
     #[error("no majority of the ledger's nodes answers")]
     NoMajority,
     #[error("a later writer has begun")]
-    Later,
+    Superseded,
     #[error("what the ledger holds makes no sense")]
-    Senseless,
+    Corrupt,
     #[error("some of the ledger's nodes have lost what they held, and all of them are needed")]
-    Lost,
+    DataLoss,
 }
 
-/// What was taken up.
-pub(crate) struct Taken {
-    pub book: Book,
+/// The log and its state as they were recovered.
+pub(crate) struct Recovered {
+    pub state: LedgerState,
     /// Its snapshot, and the index and token that it stands for.
     pub base: (u64, u64),
     pub snapshot: Vec<u8>,
     pub records: Vec<Record>,
 }
 
-pub(crate) async fn say(mesh: &Mesh, to: MemberId, op: &Op) -> Option<Re> {
-    let bytes: Bytes = postcard::to_stdvec(op).ok()?.into();
-    let answer = mesh.ask(to, LEDGER_LANE, bytes, PATIENCE).await.ok()?;
+pub(crate) async fn send(mesh: &Mesh, to: MemberId, request: &ReplicaRequest) -> Option<ReplicaResponse> {
+    let bytes: Bytes = postcard::to_stdvec(request).ok()?.into();
+    let answer = mesh.ask(to, LEDGER_LANE, bytes, RESPONSE_TIMEOUT).await.ok()?;
     postcard::from_bytes(&answer).ok()
 }
 
-/// Of those that promised, the one whose log goes furthest; none: too few did. A replica that has never held anything may have forgotten
-/// what it promised, and counts only where none of all has.
-pub(crate) fn furthest(heads: &[(MemberId, Head)], all: usize) -> Result<Option<(MemberId, Head)>, Halt> {
+/// Of the replicas that promised, the one whose log goes furthest; none: no replica holds anything. A replica that is empty may have
+/// lost what it promised, and counts only where all are empty.
+pub(crate) fn furthest(
+    heads: &[(MemberId, Head)],
+    all: usize,
+) -> Result<Option<(MemberId, Head)>, WriterError> {
     let full: Vec<_> = heads.iter().filter(|h| !h.1.empty).collect();
     if full.is_empty() {
-        return if heads.len() == all { Ok(None) } else { Err(Halt::NoMajority) };
+        return if heads.len() == all { Ok(None) } else { Err(WriterError::NoMajority) };
     }
     match (full.len() > all / 2, heads.len() > all / 2) {
         (true, _) => Ok(full.into_iter().max_by_key(|h| h.1.last).copied()),
-        (false, true) => Err(Halt::Lost),
-        (false, false) => Err(Halt::NoMajority),
+        (false, true) => Err(WriterError::DataLoss),
+        (false, false) => Err(WriterError::NoMajority),
     }
 }
 
-/// Takes up the ledger under a token.
-pub(crate) async fn recover(mesh: &Mesh, nodes: &[MemberId], token: u64) -> Result<Taken, Halt> {
+/// Recovers the ledger under a token.
+pub(crate) async fn recover(mesh: &Mesh, nodes: &[MemberId], token: u64) -> Result<Recovered, WriterError> {
     let asked = nodes.iter().map(|node| {
         let (mesh, node) = (mesh.clone(), *node);
-        tokio::spawn(async move { (node, say(&mesh, node, &Op::Promise { token }).await) })
+        tokio::spawn(async move { (node, send(&mesh, node, &ReplicaRequest::Promise { token }).await) })
     });
     let asked: Vec<_> = asked.collect();
     let mut heads = Vec::new();
     for answer in asked {
         match answer.await {
-            Ok((node, Some(Re::Holds(head)))) => heads.push((node, head)),
-            Ok((_, Some(Re::Lower { .. }))) => return Err(Halt::Later),
+            Ok((node, Some(ReplicaResponse::Promised(head)))) => heads.push((node, head)),
+            Ok((_, Some(ReplicaResponse::StaleToken { .. }))) => return Err(WriterError::Superseded),
             _ => {}
         }
     }
-    let nothing = Taken { book: Book::default(), base: (0, 0), snapshot: Vec::new(), records: Vec::new() };
+    let nothing =
+        Recovered { state: LedgerState::default(), base: (0, 0), snapshot: Vec::new(), records: Vec::new() };
     let Some((from, head)) = furthest(&heads, nodes.len())? else { return Ok(nothing) };
-    let mut taken = nothing;
+    let mut recovered = nothing;
     if head.base.1 > 0 {
-        taken.snapshot = snapshot(mesh, from, token).await?;
-        taken.book = postcard::from_bytes(&taken.snapshot).map_err(|_| Halt::Senseless)?;
+        recovered.snapshot = snapshot(mesh, from, token).await?;
+        recovered.state = postcard::from_bytes(&recovered.snapshot).map_err(|_| WriterError::Corrupt)?;
     }
     let mut next = head.base.1 + 1;
     while next <= head.last.1 {
-        let records = match say(mesh, from, &Op::Records { token, from: next }).await {
-            Some(Re::Records(records)) => records,
-            Some(Re::Lower { .. }) => return Err(Halt::Later),
-            _ => return Err(Halt::NoMajority),
+        let records = match send(mesh, from, &ReplicaRequest::ReadRecords { token, from: next }).await {
+            Some(ReplicaResponse::Records(records)) => records,
+            Some(ReplicaResponse::StaleToken { .. }) => return Err(WriterError::Superseded),
+            _ => return Err(WriterError::NoMajority),
         };
         for record in records {
             if record.index != next {
-                return Err(Halt::Senseless);
+                return Err(WriterError::Corrupt);
             }
-            taken.book.apply(&record.entry);
+            recovered.state.apply(&record.entry);
             next += 1;
-            taken.records.push(record);
+            recovered.records.push(record);
         }
     }
-    taken.base = (head.base.1, head.base.0);
-    Ok(taken)
+    recovered.base = (head.base.1, head.base.0);
+    Ok(recovered)
 }
 
-async fn snapshot(mesh: &Mesh, from: MemberId, token: u64) -> Result<Vec<u8>, Halt> {
+async fn snapshot(mesh: &Mesh, from: MemberId, token: u64) -> Result<Vec<u8>, WriterError> {
     let mut all = Vec::new();
     loop {
-        match say(mesh, from, &Op::Snapshot { token, offset: all.len() as u64 }).await {
-            Some(Re::Piece { total, bytes }) => {
+        match send(mesh, from, &ReplicaRequest::ReadSnapshot { token, offset: all.len() as u64 }).await {
+            Some(ReplicaResponse::SnapshotChunk { total, bytes }) => {
                 if bytes.is_empty() && (all.len() as u64) < total {
-                    return Err(Halt::Senseless);
+                    return Err(WriterError::Corrupt);
                 }
                 all.extend_from_slice(&bytes);
                 if all.len() as u64 >= total {
                     return Ok(all);
                 }
             }
-            Some(Re::Lower { .. }) => return Err(Halt::Later),
-            _ => return Err(Halt::NoMajority),
+            Some(ReplicaResponse::StaleToken { .. }) => return Err(WriterError::Superseded),
+            _ => return Err(WriterError::NoMajority),
         }
     }
 }
@@ -127,12 +131,12 @@
         let id = MemberId;
         let all = [(id(1), head(3, 9)), (id(2), head(4, 7)), (id(3), head(3, 12))];
         assert_eq!(furthest(&all, 3), Ok(Some(all[1])), "a later token counts before a higher index");
-        assert_eq!(furthest(&all[..1], 3), Err(Halt::NoMajority));
+        assert_eq!(furthest(&all[..1], 3), Err(WriterError::NoMajority));
         let forgot = [(id(1), head(3, 9)), (id(2), head(0, 0))];
-        assert_eq!(furthest(&forgot, 3), Err(Halt::Lost));
+        assert_eq!(furthest(&forgot, 3), Err(WriterError::DataLoss));
         let fresh = [(id(1), head(0, 0)), (id(2), head(0, 0)), (id(3), head(0, 0))];
         assert_eq!(furthest(&fresh, 3), Ok(None));
-        assert_eq!(furthest(&fresh[..2], 3), Err(Halt::NoMajority), "the third may hold all");
+        assert_eq!(furthest(&fresh[..2], 3), Err(WriterError::NoMajority), "the third may hold all");
         let one_new = [all[0], all[1], (id(3), head(0, 0))];
         assert_eq!(furthest(&one_new, 3), Ok(Some(all[1])));
     }
--- a/crates/wallet/src/ledger/replica.rs
+++ b/crates/wallet/src/ledger/replica.rs
@@ -1,16 +1,16 @@
-//! A node that keeps the ledger on its disk: it answers whoever writes, and obeys no lower token than the highest that it heard.
+//! A node that stores the ledger on its disk. It rejects tokens below the highest that it has seen.
 
 use super::store::{Store, StoreError};
-use super::{Op, Re, LEDGER_LANE, PIECE};
+use super::{ReplicaRequest, ReplicaResponse, LEDGER_LANE, MAX_CHUNK};
 use birchswitch_mesh::{Mesh, Served, Who};
 use bytes::Bytes;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
 
-/// Most records in one answer.
-const RECORDS: usize = 256;
+/// Most records in one response.
+const MAX_RECORDS: usize = 256;
 
-/// See the module's words.
+/// See the module's documentation.
 pub struct Replica {
     folder: PathBuf,
     most: u64,
@@ -19,22 +19,22 @@
 
 struct State {
     store: Option<Store>,
-    /// Pieces of a snapshot that is being sent: for which record, and what came.
-    coming: ((u64, u64), Vec<u8>),
+    /// A snapshot that is being received: up to which record, and the bytes so far.
+    incoming_snapshot: ((u64, u64), Vec<u8>),
 }
 
-/// Keeps the ledger in a folder from now on, for whoever writes. An error: it can't be read. The node serves on without it.
+/// Leadership the ledger in a folder from now on, for whoever writes. An error: it can't be read. The node serves on without it.
 pub fn serve(mesh: &Mesh, folder: PathBuf, most: u64) -> Result<Arc<Replica>, StoreError> {
     let store = Store::open(&folder, most)?;
     let (promised, head) = (store.promised(), store.head());
     tracing::info!(target: "wallet", kind = "ledger_opened", promised, last = head.last.1, token = head.last.0);
-    let state = Mutex::new(State { store: Some(store), coming: Default::default() });
+    let state = Mutex::new(State { store: Some(store), incoming_snapshot: Default::default() });
     let replica = Arc::new(Replica { folder, most, state });
     let serves = replica.clone();
     let answer = move |_: Who, bytes: Bytes| {
         let replica = serves.clone();
         Box::pin(async move {
-            // The disk may be slow: that holds up nobody but the writer.
+            // The disk may be slow.
             tokio::task::spawn_blocking(move || replica.answer(&bytes)).await.ok().flatten()
         }) as Served
     };
@@ -44,14 +44,14 @@
 
 impl Replica {
     fn answer(&self, bytes: &[u8]) -> Option<Bytes> {
-        let op: Op = postcard::from_bytes(bytes).ok()?;
+        let request: ReplicaRequest = postcard::from_bytes(bytes).ok()?;
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         if state.store.is_none() {
-            // After an error nothing that was written is trusted to be there: it is read anew from the disk.
+            // After an error nothing in memory is trusted: the state is read from the disk again.
             state.store = Store::open(&self.folder, self.most).ok();
         }
-        match state.obey(op) {
-            Ok(re) => Some(postcard::to_stdvec(&re?).ok()?.into()),
+        match state.execute(request) {
+            Ok(response) => Some(postcard::to_stdvec(&response?).ok()?.into()),
             Err(error) => {
                 tracing::error!(target: "wallet", kind = "ledger_failed", error = %error);
                 state.store = None;
@@ -62,30 +62,30 @@
 }
 
 impl State {
-    fn obey(&mut self, op: Op) -> Result<Option<Re>, StoreError> {
+    fn execute(&mut self, request: ReplicaRequest) -> Result<Option<ReplicaResponse>, StoreError> {
         let Some(store) = self.store.as_mut() else { return Ok(None) };
-        let token = match &op {
-            Op::Promise { token }
-            | Op::Append { token, .. }
-            | Op::Install { token, .. }
-            | Op::Snapshot { token, .. }
-            | Op::Records { token, .. } => *token,
+        let token = match &request {
+            ReplicaRequest::Promise { token }
+            | ReplicaRequest::Append { token, .. }
+            | ReplicaRequest::InstallSnapshot { token, .. }
+            | ReplicaRequest::ReadSnapshot { token, .. }
+            | ReplicaRequest::ReadRecords { token, .. } => *token,
         };
         if token < store.promised() {
-            return Ok(Some(Re::Lower { promised: store.promised() }));
+            return Ok(Some(ReplicaResponse::StaleToken { promised: store.promised() }));
         }
-        Ok(Some(match op {
-            Op::Promise { token } => {
+        Ok(Some(match request {
+            ReplicaRequest::Promise { token } => {
                 if token > store.promised() {
                     store.promise(token)?;
                 }
-                Re::Holds(store.head())
+                ReplicaResponse::Promised(store.head())
             }
-            Op::Append { token, after: (index, of), records } => {
+            ReplicaRequest::Append { token, previous: (index, of), records } => {
                 if index < store.head().base.1 || store.token_at(index)? != Some(of) {
-                    return Ok(Some(Re::Mismatch(store.head())));
+                    return Ok(Some(ReplicaResponse::Mismatch(store.head())));
                 }
-                // What it holds already, by the same writer, is not written again.
+                // Records that it holds already are not written again.
                 let held = |r: &super::Record| Ok::<_, StoreError>(store.token_at(r.index)? == Some(r.token));
                 let mut new = records.as_slice();
                 while let [first, rest @ ..] = new {
@@ -95,42 +95,42 @@
                     new = rest;
                 }
                 store.append(token, new)?;
-                Re::Stored(records.last().map_or(index, |r| r.index))
+                ReplicaResponse::Stored(records.last().map_or(index, |r| r.index))
             }
-            Op::Install { token, upto, offset, total, bytes } => {
+            ReplicaRequest::InstallSnapshot { token, up_to, offset, total, bytes } => {
                 if offset == 0 {
-                    self.coming = (upto, Vec::new());
+                    self.incoming_snapshot = (up_to, Vec::new());
                 }
-                let came = &mut self.coming.1;
-                if self.coming.0 != upto || came.len() as u64 != offset {
-                    return Ok(Some(Re::Mismatch(store.head())));
+                let received = &mut self.incoming_snapshot.1;
+                if self.incoming_snapshot.0 != up_to || received.len() as u64 != offset {
+                    return Ok(Some(ReplicaResponse::Mismatch(store.head())));
                 }
-                came.extend_from_slice(&bytes);
-                if (came.len() as u64) < total {
-                    return Ok(Some(Re::Stored(0)));
+                received.extend_from_slice(&bytes);
+                if (received.len() as u64) < total {
+                    return Ok(Some(ReplicaResponse::Stored(0)));
                 }
-                let whole = std::mem::take(came);
-                if upto.1 > store.head().base.1 {
-                    store.install(token, upto, &whole)?;
+                let whole = std::mem::take(received);
+                if up_to.1 > store.head().base.1 {
+                    store.install(token, up_to, &whole)?;
                 }
-                Re::Stored(upto.1)
+                ReplicaResponse::Stored(up_to.1)
             }
-            Op::Snapshot { offset, .. } => {
+            ReplicaRequest::ReadSnapshot { offset, .. } => {
                 let bytes = store.snapshot()?;
                 let from = (offset as usize).min(bytes.len());
-                let piece = &bytes[from..(from + PIECE).min(bytes.len())];
-                Re::Piece { total: bytes.len() as u64, bytes: piece.to_vec() }
+                let piece = &bytes[from..(from + MAX_CHUNK).min(bytes.len())];
+                ReplicaResponse::SnapshotChunk { total: bytes.len() as u64, bytes: piece.to_vec() }
             }
-            Op::Records { from, .. } => {
-                let mut records = store.records(from, RECORDS)?;
+            ReplicaRequest::ReadRecords { from, .. } => {
+                let mut records = store.records(from, MAX_RECORDS)?;
                 let mut size = 0;
                 let fits = |r: &super::Record| {
                     size += postcard::to_stdvec(r).map_or(0, |b| b.len());
-                    size <= PIECE
+                    size <= MAX_CHUNK
                 };
                 let fitting = records.iter().map(fits).take_while(|f| *f).count();
                 records.truncate(fitting.max(1));
-                Re::Records(records)
+                ReplicaResponse::Records(records)
             }
         }))
     }
--- a/crates/wallet/src/ledger/store.rs
+++ b/crates/wallet/src/ledger/store.rs
@@ -34,7 +34,7 @@
     },
     /// The file is damaged, or a record in it.
     #[error("ledger {0}: it is damaged")]
-    Senseless(String),
+    Corrupt(String),
     /// The file is as large as it may be.
     #[error("ledger {path}: {size} bytes, and no more than {most} may be taken")]
     Full {
@@ -72,7 +72,7 @@
         let path = folder.join("ledger.redb");
         // The library asserts some of what it finds in a file that was cut short.
         let opened = catch_unwind(AssertUnwindSafe(|| Database::create(&path)));
-        let damaged = |_| StoreError::Senseless(path.display().to_string());
+        let damaged = |_| StoreError::Corrupt(path.display().to_string());
         let database = opened.map_err(damaged)?.map_err(|e| wrong(&path, e))?;
         let mut store = Store { path, most, database, head: Head::default(), promised: 0 };
         store.write(|_, _, _| Ok(()))?;
@@ -137,7 +137,7 @@
     }
 
     fn record(&self, bytes: &[u8]) -> Result<Record, StoreError> {
-        postcard::from_bytes(bytes).map_err(|_| StoreError::Senseless(self.path.display().to_string()))
+        postcard::from_bytes(bytes).map_err(|_| StoreError::Corrupt(self.path.display().to_string()))
     }
 
     /// Promises a token, for good.
@@ -166,7 +166,7 @@
         let encoded: Result<Vec<(u64, Vec<u8>)>, _> =
             records.iter().map(|r| Ok((r.index, postcard::to_stdvec(r)?))).collect();
         let encoded =
-            encoded.map_err(|_: postcard::Error| StoreError::Senseless(self.path.display().to_string()))?;
+            encoded.map_err(|_: postcard::Error| StoreError::Corrupt(self.path.display().to_string()))?;
         let last = self.head.last.1;
         self.write(|meta, log, _| {
             meta.insert("promised", token)?;
@@ -187,14 +187,14 @@
     }
 
     /// Holds a snapshot in the place of all up to that token and index, and what comes after it where it held that record.
-    pub fn install(&mut self, token: u64, upto: (u64, u64), bytes: &[u8]) -> Result<(), StoreError> {
-        let (last, keeps) = (self.head.last.1, self.token_at(upto.1)? == Some(upto.0));
-        let end = if keeps { upto.1 } else { last };
+    pub fn install(&mut self, token: u64, up_to: (u64, u64), bytes: &[u8]) -> Result<(), StoreError> {
+        let (last, keeps) = (self.head.last.1, self.token_at(up_to.1)? == Some(up_to.0));
+        let end = if keeps { up_to.1 } else { last };
         let from = self.head.base.1;
         self.write(|meta, log, snapshot| {
             meta.insert("promised", token)?;
-            meta.insert("base", upto.1)?;
-            meta.insert("base_token", upto.0)?;
+            meta.insert("base", up_to.1)?;
+            meta.insert("base_token", up_to.0)?;
             for index in from..=end {
                 log.remove(index)?;
             }
--- a/crates/wallet/src/ledger/writer.rs
+++ b/crates/wallet/src/ledger/writer.rs
@@ -1,9 +1,9 @@
-//! The one that writes: it holds the log in memory, and says when something is on a majority's disks.
+//! The ledger's one writer: it holds the log in memory, and tells when entries are on a majority's disks.
 
-use super::follow::follow;
-use super::recover::{recover, Halt};
+use super::recover::{recover, WriterError};
+use super::replication::replicate;
 use super::Record;
-use crate::account::{Book, Entry};
+use crate::account::{Entry, LedgerState};
 use birchswitch_cluster::MemberId;
 use birchswitch_mesh::Mesh;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -28,60 +28,69 @@
     }
 }
 
-/// See the module's words. Its tasks go with it.
+/// See the module's documentation. Its tasks end with it.
 pub(crate) struct Writer {
     token: u64,
     majority: usize,
     log: Arc<Mutex<Log>>,
     written: watch::Sender<u64>,
     stored: Vec<watch::Receiver<u64>>,
-    later: watch::Receiver<bool>,
-    _follows: JoinSet<()>,
+    superseded: watch::Receiver<bool>,
+    _replication: JoinSet<()>,
 }
 
 impl Writer {
-    /// Takes up the ledger of these nodes under a token, and writes a first record. What the accounts are then.
-    pub(crate) async fn begin(mesh: &Mesh, nodes: &[MemberId], token: u64) -> Result<(Writer, Book), Halt> {
-        let taken = recover(mesh, nodes, token).await?;
-        let log = Log { base: taken.base, snapshot: Arc::new(taken.snapshot), records: taken.records };
+    /// Recovers the ledger of these nodes under a token, and commits a first record. Returns the state after it.
+    pub(crate) async fn begin(
+        mesh: &Mesh,
+        nodes: &[MemberId],
+        token: u64,
+    ) -> Result<(Writer, LedgerState), WriterError> {
+        let recovered = recover(mesh, nodes, token).await?;
+        let log =
+            Log { base: recovered.base, snapshot: Arc::new(recovered.snapshot), records: recovered.records };
         let log = Arc::new(Mutex::new(log));
-        let (written, follows) = (watch::Sender::new(0), JoinSet::new());
-        let (later_tell, later) = watch::channel(false);
+        let (written, replication) = (watch::Sender::new(0), JoinSet::new());
+        let (tell_superseded, superseded) = watch::channel(false);
         let mut writer = Writer {
             token,
             majority: nodes.len() / 2 + 1,
             log,
             written,
             stored: Vec::new(),
-            later,
-            _follows: follows,
+            superseded,
+            _replication: replication,
         };
         let first = writer.log.lock().unwrap_or_else(PoisonError::into_inner).last().0 + 1;
         for node in nodes {
             let (tell, stored) = watch::channel(0);
             let (log, written) = ((writer.log.clone(), first), writer.written.subscribe());
-            writer._follows.spawn(follow(
+            writer._replication.spawn(replicate(
                 (mesh.clone(), *node, token),
                 log,
                 written,
                 tell,
-                later_tell.clone(),
+                tell_superseded.clone(),
             ));
             writer.stored.push(stored);
         }
-        let mut book = taken.book;
-        writer.commit(&mut book, vec![Entry::Began]).await?;
-        Ok((writer, book))
+        let mut state = recovered.state;
+        writer.commit(&mut state, vec![Entry::TermBegan]).await?;
+        Ok((writer, state))
     }
 
-    /// Has entries, which the accounts show already but for this call's, on a majority's disks.
-    pub(crate) async fn commit(&mut self, book: &mut Book, entries: Vec<Entry>) -> Result<(), Halt> {
-        entries.iter().for_each(|entry| book.apply(entry));
+    /// Applies entries, and waits until they are on a majority's disks.
+    pub(crate) async fn commit(
+        &mut self,
+        state: &mut LedgerState,
+        entries: Vec<Entry>,
+    ) -> Result<(), WriterError> {
+        entries.iter().for_each(|entry| state.apply(entry));
         self.write(entries).await
     }
 
-    /// Waits until these are on a majority's disks.
-    pub(crate) async fn write(&mut self, entries: Vec<Entry>) -> Result<(), Halt> {
+    /// Appends entries that are applied already, and waits until they are on a majority's disks.
+    pub(crate) async fn write(&mut self, entries: Vec<Entry>) -> Result<(), WriterError> {
         let last = {
             let mut log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
             for entry in entries {
@@ -92,8 +101,8 @@
         };
         self.written.send_replace(last);
         loop {
-            if *self.later.borrow() {
-                return Err(Halt::Later);
+            if *self.superseded.borrow() {
+                return Err(WriterError::Superseded);
             }
             let holds = self.stored.iter().filter(|s| *s.borrow() >= last).count();
             if holds >= self.majority {
@@ -104,7 +113,7 @@
                 let mut stored = stored.clone();
                 waits.spawn(async move { stored.wait_for(|s| *s >= last).await.is_ok() });
             }
-            let mut later = self.later.clone();
+            let mut superseded = self.superseded.clone();
             let mut got = 0;
             while got < self.majority {
                 tokio::select! {
@@ -112,21 +121,21 @@
                         Some(Ok(true)) => got += 1,
                         Some(_) => {}
                         // All replicas' tasks are gone: a later writer has begun.
-                        None => return Err(Halt::Later),
+                        None => return Err(WriterError::Superseded),
                     },
-                    _ = later.wait_for(|l| *l) => return Err(Halt::Later),
+                    _ = superseded.wait_for(|l| *l) => return Err(WriterError::Superseded),
                 }
             }
         }
     }
 
     /// Puts a snapshot of the accounts in the place of all that is committed, where that is much.
-    pub(crate) fn compact(&mut self, book: &Book) {
+    pub(crate) fn compact(&mut self, state: &LedgerState) {
         let mut log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
         if log.records.len() < SNAPSHOT_AFTER {
             return;
         }
-        if let Ok(bytes) = postcard::to_stdvec(book) {
+        if let Ok(bytes) = postcard::to_stdvec(state) {
             log.base = log.last();
             log.snapshot = Arc::new(bytes);
             log.records.clear();
--- a/crates/wallet/src/message.rs
+++ b/crates/wallet/src/message.rs
@@ -1,96 +1,96 @@
-//! What nodes and the keeper say to each other, in postcard's encoding.
+//! Messages between nodes and the ledger's leader, in postcard's encoding (`tests/encoding.rs` holds their bytes).
 
 use crate::account::Report;
 use serde::{Deserialize, Serialize};
 
 /// What a node needs of one account.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Need {
+pub struct Demand {
     /// The account.
     pub account: String,
-    /// Units a second that it is asked for.
-    pub per_s: f32,
-    /// The dearest request that it turned away for want of units.
-    pub once: u64,
-    /// Parts that it holds, and units of them that it has neither spent nor reserved.
+    /// Units a second that requests ask for, smoothed.
+    pub units_per_s: f32,
+    /// The price of the dearest request that was rejected for want of units since the last renewal.
+    pub largest_rejected: u64,
+    /// Allotments that may be spent from: their numbers, and units neither spent nor reserved.
     pub holds: Vec<(u64, u64)>,
 }
 
-/// A node's question, with its report.
+/// A node's renewal: what became of its allotments, and what it needs.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Ask {
-    /// Counted by the process: it takes no answer to an earlier one any more.
-    pub number: u64,
-    /// The highest token that it has heard.
-    pub heard: u64,
-    /// What came of its parts.
+pub struct RenewalRequest {
+    /// Counts up within a process, which ignores responses to earlier requests.
+    pub sequence: u64,
+    /// The highest fencing token that the process has seen.
+    pub highest_token: u64,
+    /// What became of its allotments.
     pub report: Report,
     /// What it needs.
-    pub needs: Vec<Need>,
+    pub demands: Vec<Demand>,
 }
 
-/// What a node is told of an account.
+/// What a node may spend of one account.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AccountWord {
+pub struct AccountGrant {
     /// The account.
     pub account: String,
-    /// A part of its own from now on: its number and units.
-    pub part: Option<(u64, u64)>,
-    /// It is to give back what it holds beyond this.
+    /// A new allotment: its number and units.
+    pub allotment: Option<(u64, u64)>,
+    /// The node returns what it holds beyond this many units.
     pub keep: u64,
-    /// It ran out.
+    /// The balance ran out.
     pub paused: bool,
-    /// An operator stopped it.
+    /// An operator stopped the account.
     pub frozen: bool,
 }
 
-/// The keeper's answer.
+/// The leader's response to a renewal.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Word {
-    /// The keeper's.
+pub struct RenewalResponse {
+    /// The leader's fencing token.
     pub token: u64,
-    /// The report that is in the ledger now.
+    /// Number of the latest report of this process that the ledger holds.
     pub report: u64,
-    /// One each account that was asked for.
-    pub accounts: Vec<AccountWord>,
+    /// One for each account of the request's demands.
+    pub accounts: Vec<AccountGrant>,
 }
 
-/// An operator's call.
+/// An operator's command.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Call {
-    /// All accounts, a line each.
+pub enum AdminCommand {
+    /// List all accounts.
     Show,
-    /// Parts in doubt, a line each.
-    Doubts,
-    /// Somebody paid: account, the payment's id, units.
+    /// List allotments in doubt.
+    InDoubt,
+    /// Credit a payment: account, the payment's id, units.
     TopUp(String, String, u64),
-    /// Stop an account, or let it go on.
+    /// Stop an account (`true`) or let it go on.
     Freeze(String, bool),
-    /// What came of a part in doubt: account, part, units spent.
+    /// Settle an allotment in doubt: account, allotment, units spent.
     Settle(String, u64, u64),
 }
 
-/// What is asked of a keeper.
+/// A request to the leader.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Question {
-    /// By a node.
-    Ask(Ask),
-    /// By an operator.
-    Call(Call),
+pub enum Request {
+    /// From a node.
+    Renew(RenewalRequest),
+    /// From an operator.
+    Admin(AdminCommand),
 }
 
-/// What it answers.
+/// The leader's response.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Said {
+pub enum Response {
     /// To a node.
-    Word(Word),
-    /// To an operator: lines, or why not.
-    Text(Result<String, String>),
+    Renewed(RenewalResponse),
+    /// To an operator: lines of text, or why the command was rejected.
+    Admin(Result<String, String>),
 }
 
-impl Ask {
-    /// Whether a peer may have meant it.
-    pub fn sound(&self) -> bool {
-        self.needs.iter().all(|n| n.per_s.is_finite() && n.per_s >= 0.0)
+impl RenewalRequest {
+    /// Whether all numbers are in range. A peer's message may hold anything.
+    pub fn is_valid(&self) -> bool {
+        self.demands.iter().all(|demand| demand.units_per_s.is_finite() && demand.units_per_s >= 0.0)
     }
 }
--- a/crates/wallet/src/settings.rs
+++ b/crates/wallet/src/settings.rs
@@ -1,6 +1,6 @@
 //! The `[[wallet]]` tables of an operator's file, and `[ledger]` beside them.
 
-use crate::account::allotment::Terms;
+use crate::account::targets::AccountTerms;
 use crate::price::Prices;
 use birchswitch_cluster_host::{Places, Span, Wrong};
 use birchswitch_site::Names;
@@ -59,7 +59,7 @@
 #[derive(Clone, Debug)]
 pub struct Compiled {
     /// The accounts.
-    pub accounts: Vec<Terms>,
+    pub accounts: Vec<AccountTerms>,
     /// The names of the nodes that keep the ledger.
     pub nodes: Vec<String>,
     /// Where this one keeps it, if it does.
@@ -115,7 +115,7 @@
         }
         let drill = table.drill.clone().unwrap_or_default();
         let on = |w| !drill.without.contains(&w);
-        let accounts: Result<Vec<Terms>, Wrong> = accounts.iter().map(|a| account(a, names)).collect();
+        let accounts: Result<Vec<AccountTerms>, Wrong> = accounts.iter().map(|a| account(a, names)).collect();
         let accounts = accounts?;
         if let Some((n, _)) =
             accounts.iter().enumerate().find(|(n, a)| accounts[..*n].iter().any(|b| b.account == a.account))
@@ -135,7 +135,7 @@
     }
 }
 
-fn account(written: &Spanned<WalletTable>, names: &Names) -> Result<Terms, Wrong> {
+fn account(written: &Spanned<WalletTable>, names: &Names) -> Result<AccountTerms, Wrong> {
     let table = written.get_ref();
     let mut places = Places::new("tenant", &table.tenant);
     if !names.tenants.contains(table.tenant.get_ref()) {
@@ -174,7 +174,7 @@
     if !(Duration::from_millis(200)..=Duration::from_secs(60)).contains(&ahead) {
         return Err(places.wrong("ahead", "`ahead` has to be 200ms to 60s"));
     }
-    Ok(Terms { account: table.tenant.get_ref().clone(), prices, overdraft, low, resume, ahead })
+    Ok(AccountTerms { account: table.tenant.get_ref().clone(), prices, overdraft, low, resume, ahead })
 }
 
 #[cfg(test)]
--- a/crates/wallet/tests/ledger.rs
+++ b/crates/wallet/tests/ledger.rs
@@ -3,7 +3,7 @@
 mod nodes;
 
 use birchswitch_mesh::Mesh;
-use birchswitch_wallet::{Call, Entry, Record, Reign, Store};
+use birchswitch_wallet::{AdminCommand, Entry, LeadershipTerm, Record, Store};
 use nodes::{fresh, start, top_up, Nodes, MOST};
 use std::time::Duration;
 use tempfile::TempDir;
@@ -84,43 +84,43 @@
 #[tokio::test]
 async fn what_was_said_is_there_for_the_next_writer_and_after_all_have_started_anew() {
     let nodes = start(fresh(), None);
-    nodes.keeps(0, 10);
+    nodes.elect(0, 10);
     for n in 0..30 {
         nodes.calls(0, top_up(&format!("{}", n % 20), 7)).await;
     }
-    nodes.keeps(1, 11);
-    assert!(nodes.calls(1, Call::Show).await.contains("t 140 140 0 0 0 0 open"));
+    nodes.elect(1, 11);
+    assert!(nodes.calls(1, AdminCommand::Show).await.contains("t 140 140 0 0 0 0 open"));
     nodes.calls(1, top_up("later", 1)).await;
-    let Nodes { meshes, keepers, folders } = nodes;
+    let Nodes { meshes, leaders, folders } = nodes;
     meshes.iter().for_each(Mesh::stop);
-    drop((meshes, keepers));
+    drop((meshes, leaders));
     closed(&folders).await;
     // One does not come back.
     let nodes = start(folders, Some(0));
-    nodes.keeps(2, 12);
-    assert!(nodes.calls(2, Call::Show).await.contains("t 141 141 0 0 0 0 open"));
+    nodes.elect(2, 12);
+    assert!(nodes.calls(2, AdminCommand::Show).await.contains("t 141 141 0 0 0 0 open"));
 }
 
 #[tokio::test]
 async fn an_earlier_writer_writes_nothing_more_and_a_minority_nothing_at_all() {
     let nodes = start(fresh(), None);
-    nodes.keeps(0, 10);
+    nodes.elect(0, 10);
     nodes.calls(0, top_up("a", 5)).await;
     // Both believe that it is theirs: the later number counts.
-    nodes.keepers[1].reigns(Some(Reign { token: 11 }));
+    nodes.leaders[1].set_term(Some(LeadershipTerm { token: 11 }));
     nodes.calls(1, top_up("b", 6)).await;
     assert_eq!(nodes.call(0, top_up("c", 100)).await, None);
-    assert!(nodes.calls(1, Call::Show).await.contains("t 11 "));
+    assert!(nodes.calls(1, AdminCommand::Show).await.contains("t 11 "));
     let alone = start(fresh(), Some(1));
-    alone.keeps(0, 10);
+    alone.elect(0, 10);
     // The third may hold what the others never had.
-    assert_eq!(alone.call(0, Call::Show).await, None);
+    assert_eq!(alone.call(0, AdminCommand::Show).await, None);
 }
 
 #[tokio::test]
 async fn a_long_log_becomes_a_snapshot_that_others_take_up() {
     let nodes = start(fresh(), None);
-    nodes.keeps(0, 10);
+    nodes.elect(0, 10);
     let all = (0..2500).map(|n| nodes.calls(0, top_up(&format!("{n}"), 1)));
     let mut all: Vec<_> = all.collect();
     while !all.is_empty() {
@@ -129,9 +129,9 @@
             done.await;
         }
     }
-    nodes.keeps(2, 11);
-    assert!(nodes.calls(2, Call::Show).await.contains("t 2500 2500 0 0 0 0 open"));
-    nodes.keeps(1, 12);
+    nodes.elect(2, 11);
+    assert!(nodes.calls(2, AdminCommand::Show).await.contains("t 2500 2500 0 0 0 0 open"));
+    nodes.elect(1, 12);
     assert!(nodes.calls(1, top_up("last", 1)).await.contains("topped up"));
-    assert!(nodes.calls(1, Call::Show).await.contains("t 2501 "));
+    assert!(nodes.calls(1, AdminCommand::Show).await.contains("t 2501 "));
 }
--- a/crates/wallet/tests/nodes/mod.rs
+++ b/crates/wallet/tests/nodes/mod.rs
@@ -1,8 +1,11 @@
-//! Nodes of one process that keep a ledger, for tests and the bench.
+//! Nodes of one process that hold a ledger, for tests and the bench.
 
 use birchswitch_cluster::{Life, MemberId};
 use birchswitch_mesh::{Clock, Compiled, Identity, Member, Mesh, Roster, Who};
-use birchswitch_wallet::{serve, Call, Keeper, Prices, Question, Reign, Said, Terms, LANE};
+use birchswitch_wallet::{
+    serve, AccountTerms, AdminCommand, Leader, LeaderSettings, LeadershipTerm, Prices, Request, Response,
+    LANE,
+};
 use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,17 +13,17 @@
 
 pub const MOST: u64 = 64 << 20;
 
-/// Nodes of one process that keep a ledger, each on a folder of its own.
+/// Nodes of one process that hold a ledger, each on a folder of its own.
 pub struct Nodes {
     pub meshes: Vec<Mesh>,
-    pub keepers: Vec<Arc<Keeper>>,
+    pub leaders: Vec<Arc<Leader>>,
     pub folders: Vec<TempDir>,
 }
 
-fn terms() -> Vec<Terms> {
+fn terms() -> Vec<AccountTerms> {
     let prices = Prices { classes: vec![1], per_ms: 0 };
     let ahead = Duration::from_secs(2);
-    vec![Terms { account: "t".into(), prices, overdraft: 0, low: 1, resume: 1, ahead }]
+    vec![AccountTerms { account: "t".into(), prices, overdraft: 0, low: 1, resume: 1, ahead }]
 }
 
 /// Starts them on these folders; `without` is one that does not come up.
@@ -41,15 +44,20 @@
     let roster = Roster { members: meshes.iter().enumerate().map(member).collect(), agreed: 3 };
     meshes.iter().for_each(|m| m.told(roster.clone()));
     let ids: Vec<MemberId> = names.iter().map(|n| MemberId::of(n)).collect();
-    let rules = (Duration::from_secs(2), Duration::from_secs(1), [true; 2]);
-    let mut keepers = Vec::new();
+    let settings = LeaderSettings {
+        ttl: Duration::from_secs(2),
+        longest_request: Duration::from_secs(1),
+        keep_in_doubt: true,
+        unique_top_ups: true,
+    };
+    let mut leaders = Vec::new();
     for (n, mesh) in meshes.iter().enumerate() {
         if Some(n) != without {
             serve(mesh, folders[n].path().into(), MOST).expect("a replica");
         }
-        keepers.push(Keeper::serve(mesh, terms(), rules, ids.clone()));
+        leaders.push(Leader::serve(mesh, terms(), settings, ids.clone()));
     }
-    Nodes { meshes, keepers, folders }
+    Nodes { meshes, leaders, folders }
 }
 
 pub fn fresh() -> Vec<TempDir> {
@@ -57,33 +65,33 @@
 }
 
 impl Nodes {
-    pub async fn call(&self, at: usize, call: Call) -> Option<Result<String, String>> {
-        let question: Bytes = postcard::to_stdvec(&Question::Call(call)).expect("it encodes").into();
+    pub async fn call(&self, at: usize, call: AdminCommand) -> Option<Result<String, String>> {
+        let request: Bytes = postcard::to_stdvec(&Request::Admin(call)).expect("it encodes").into();
         let own: Who = self.meshes[at].own();
-        let answer = self.meshes[at].ask(own.id, LANE, question, Duration::from_secs(3)).await.ok()?;
+        let answer = self.meshes[at].ask(own.id, LANE, request, Duration::from_secs(3)).await.ok()?;
         match postcard::from_bytes(&answer).expect("sense") {
-            Said::Text(text) => Some(text),
+            Response::Admin(text) => Some(text),
             other => panic!("{other:?}"),
         }
     }
 
     /// Calls until it is answered: a writer may be about to begin.
-    pub async fn calls(&self, at: usize, call: Call) -> String {
+    pub async fn calls(&self, at: usize, call: AdminCommand) -> String {
         for _ in 0..50 {
-            if let Some(said) = self.call(at, call.clone()).await {
-                return said.expect("carried out");
+            if let Some(response) = self.call(at, call.clone()).await {
+                return response.expect("carried out");
             }
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
         panic!("{call:?}: no answer");
     }
 
-    pub fn keeps(&self, at: usize, token: u64) {
-        self.keepers.iter().for_each(|k| k.reigns(None));
-        self.keepers[at].reigns(Some(Reign { token }));
+    pub fn elect(&self, at: usize, token: u64) {
+        self.leaders.iter().for_each(|leader| leader.set_term(None));
+        self.leaders[at].set_term(Some(LeadershipTerm { token }));
     }
 }
 
-pub fn top_up(id: &str, units: u64) -> Call {
-    Call::TopUp("t".into(), id.into(), units)
+pub fn top_up(id: &str, units: u64) -> AdminCommand {
+    AdminCommand::TopUp("t".into(), id.into(), units)
 }
--- a/node/src/fleet/gate.rs
+++ b/node/src/fleet/gate.rs
@@ -1,6 +1,6 @@
 //! What each request passes before the decisions.
 
-use super::wallet::{Bill, Till};
+use super::wallet::{AccountGuard, Charge};
 use birchswitch_host::{Door, Entering, Pass, Turned};
 use birchswitch_quota as quota;
 use std::cell::Cell;
@@ -11,14 +11,14 @@
     /// Limits of the whole fleet.
     pub limits: Option<Rc<quota::Door>>,
     /// Prepaid accounts.
-    pub till: Option<Till>,
+    pub accounts: Option<AccountGuard>,
 }
 
 /// What a request took.
 struct Taken {
     /// Given back when it is dropped.
     limits: Option<quota::Taken>,
-    bill: Option<Bill>,
+    charge: Option<Charge>,
     sent: Cell<bool>,
 }
 
@@ -36,27 +36,27 @@
     fn sent(&self) {
         self.limits.iter().for_each(quota::Taken::sent);
         let again = self.sent.replace(true);
-        self.bill.iter().for_each(|bill| bill.sent(again));
+        self.charge.iter().for_each(|charge| charge.sent(again));
     }
 
     fn over(self: Box<Self>, ran: bool) {
-        self.bill.into_iter().for_each(|bill| bill.settle(ran));
+        self.charge.into_iter().for_each(|charge| charge.settle(ran));
     }
 }
 
 impl Door for Gate {
     fn enter(&self, entering: &Entering) -> Result<Option<Box<dyn Pass>>, Turned> {
-        let bill = self.till.as_ref().map(|till| till.enter(entering)).transpose()?.flatten();
+        let charge = self.accounts.as_ref().map(|accounts| accounts.enter(entering)).transpose()?.flatten();
         let limits = self.limits.as_ref().map(|door| door.enter(entering.tenant.0, entering.class.0));
         let limits = match limits.transpose() {
             Ok(limits) => limits.flatten(),
             Err(turned) => {
-                bill.into_iter().for_each(|bill| bill.settle(false));
+                charge.into_iter().for_each(|charge| charge.settle(false));
                 return Err(over_a_limit(turned));
             }
         };
         let sent = Cell::new(false);
-        let any = limits.is_some() || bill.is_some();
-        Ok(any.then(|| Box::new(Taken { limits, bill, sent }) as Box<dyn Pass>))
+        let any = limits.is_some() || charge.is_some();
+        Ok(any.then(|| Box::new(Taken { limits, charge, sent }) as Box<dyn Pass>))
     }
 }
--- a/node/src/fleet/mod.rs
+++ b/node/src/fleet/mod.rs
@@ -3,7 +3,7 @@
 //! ```text
 //!   members ── who lives ──┐
 //!   leases  ── who may ────┼── links: the mesh, told who lives ─┬─ limits: the door's grants
-//!   health                 │                                    ├─ wallet: the purse's parts
+//!   health                 │                                    ├─ wallet: allotments
 //!                          │                                    └─ verdicts, tuner ── advice: one input of the decisions
 //!   gate: what each request passes, on the node's own thread
 //! ```
@@ -94,8 +94,8 @@
     /// What each request passes; none: nothing that is on wants to.
     pub fn gate(&self) -> Option<Rc<Gate>> {
         let limits = self.limits.as_ref().map(limits::Limits::door);
-        let till = self.wallet.as_ref().map(wallet::Wallet::till);
-        (limits.is_some() || till.is_some()).then(|| Rc::new(Gate { limits, till }))
+        let accounts = self.wallet.as_ref().map(wallet::Wallet::guard);
+        (limits.is_some() || accounts.is_some()).then(|| Rc::new(Gate { limits, accounts }))
     }
 
     /// Hears how a host's attempts end. To be called before any list comes.
@@ -135,7 +135,7 @@
     /// Gives back what others could use, before the node ends.
     pub async fn leave(&self) {
         if let Some(wallet) = &self.wallet {
-            wallet.leave().await;
+            wallet.return_allotments().await;
         }
         self.mesh.stop();
     }
@@ -144,7 +144,7 @@
     pub fn parts(&self) -> Vec<Rc<dyn Part>> {
         let mut parts: Vec<Rc<dyn Part>> = vec![Rc::new(links::Asked(self.mesh.clone()))];
         parts.extend(self.limits.iter().map(|l| Rc::new(limits::Asked(l.door())) as Rc<dyn Part>));
-        parts.extend(self.wallet.iter().map(|w| Rc::new(w.asked()) as Rc<dyn Part>));
+        parts.extend(self.wallet.iter().map(|w| Rc::new(w.operations()) as Rc<dyn Part>));
         parts
     }
 }
--- a/node/src/fleet/wallet.rs
+++ b/node/src/fleet/wallet.rs
@@ -1,4 +1,4 @@
-//! Prepaid accounts: the purse on this node's thread; asking, keeping and the ledger's replica on the mesh's.
+//! Prepaid accounts: this node's allotments on its own thread; renewal, leadership and the ledger's replica on the mesh's.
 
 use super::reign::Reigning;
 use crate::operations::Part;
@@ -9,7 +9,8 @@
 use birchswitch_mesh::Mesh;
 use birchswitch_operations::Told;
 use birchswitch_wallet::{
-    call, run, serve, Call, Compiled, Errand, Keeper, Purse, Reign, Reserved, Turned, TASK,
+    renew_allotments, send_command, serve, AdminCommand, Compiled, Leader, LeaderSettings, LeadershipTerm,
+    LocalAllotments, RejectionReason, RenewalStep, Reservation, TASK,
 };
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -19,41 +20,41 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
-/// Nodes beside the first that stand ready to keep it.
+/// Nodes beside the leader that stand ready to lead.
 const STANDBYS: usize = 2;
-/// A node that ends gives back what it holds within this, or leaves it in doubt.
-const LEAVE: Duration = Duration::from_secs(5);
-/// When it may be worth coming again to an account that ran out, or was stopped.
-const PAUSED: Duration = Duration::from_secs(1);
+/// A node that ends returns what it holds within this, or leaves it in doubt.
+const RETURN_TIMEOUT: Duration = Duration::from_secs(5);
+/// `Retry-After` for an account that ran out, or was stopped.
+const RETRY_PAUSED: Duration = Duration::from_secs(1);
 
-/// What a node has of it.
+/// Prepaid accounts at this node.
 pub struct Wallet {
     compiled: Compiled,
-    hold: Duration,
+    longest_request: Duration,
     mesh: Mesh,
-    purse: Rc<RefCell<Purse>>,
+    allotments: Rc<RefCell<LocalAllotments>>,
     short: Arc<Notify>,
 }
 
 impl Wallet {
-    /// With nothing to spend yet. `windows` are the classes' windows for keys, `hold` the longest that a request may run.
+    /// With nothing to spend yet. `windows` are the classes' windows for keys, `longest_request` the longest that a request may run.
     pub fn open(
         compiled: &Compiled,
         tenants: &[String],
         windows: &[Duration],
-        hold: Duration,
+        longest_request: Duration,
         mesh: &Mesh,
     ) -> Self {
-        let purse = Purse::new(&compiled.accounts, tenants, windows, compiled.ttl);
-        let (purse, short) = (Rc::new(RefCell::new(purse)), Arc::new(Notify::new()));
-        Wallet { compiled: compiled.clone(), hold, mesh: mesh.clone(), purse, short }
+        let allotments = LocalAllotments::new(&compiled.accounts, tenants, windows, compiled.ttl);
+        let (allotments, short) = (Rc::new(RefCell::new(allotments)), Arc::new(Notify::new()));
+        Wallet { compiled: compiled.clone(), longest_request, mesh: mesh.clone(), allotments, short }
     }
 
-    /// What requests pass.
-    pub fn till(&self) -> Till {
+    /// What charges requests.
+    pub fn guard(&self) -> AccountGuard {
         let once = self.compiled.safeguards[2];
-        Till {
-            purse: self.purse.clone(),
+        AccountGuard {
+            allotments: self.allotments.clone(),
             short: self.short.clone(),
             renew: self.compiled.renew,
             once,
@@ -61,144 +62,158 @@
         }
     }
 
-    /// Asks, keeps the ledger where this node is to, and keeps the accounts whenever the lease is this node's.
+    /// Renews allotments, stores the ledger if this node is one of its replicas, and leads whenever it holds the lease.
     pub fn run(&self, tasks: &Rc<Tasks>) {
         let (mesh, c) = (&self.mesh, &self.compiled);
         if let Some(folder) = &c.folder {
-            // Without it the others go on, and so does this node.
+            // The other replicas go on without it, and so does this node.
             if let Err(error) = serve(mesh, folder.clone(), c.most) {
                 tracing::error!(target: "wallet", kind = "ledger_damaged", error = %error);
             }
         }
-        let (errands, mut todo) = mpsc::unbounded_channel();
-        mesh.spawn(run(mesh.clone(), (c.renew, c.ttl), errands, self.short.clone()));
-        let (purse, clock) = (self.purse.clone(), mesh.clock());
+        let (steps, mut next_steps) = mpsc::unbounded_channel();
+        mesh.spawn(renew_allotments(mesh.clone(), (c.renew, c.ttl), steps, self.short.clone()));
+        let (allotments, clock) = (self.allotments.clone(), mesh.clock());
         spawn_local(async move {
-            while let Some(errand) = todo.recv().await {
-                match errand {
-                    Errand::Ask(tell) => {
+            while let Some(step) = next_steps.recv().await {
+                match step {
+                    RenewalStep::Prepare(tell) => {
                         let now = clock.now();
-                        // Whoever asked is gone with the mesh.
-                        let _ = tell.send(purse.borrow_mut().ask(now).map(|ask| (now, ask)));
+                        let request = allotments.borrow_mut().prepare_renewal(now);
+                        // The receiver may have ended with the mesh.
+                        let _ = tell.send(request.map(|request| (now, request)));
+                    }
+                    RenewalStep::Apply(prepared_at, request, response) => {
+                        allotments.borrow_mut().apply(prepared_at, &request, &response);
                     }
-                    Errand::Apply(asked, ask, word) => purse.borrow_mut().apply(asked, &ask, &word),
                 }
             }
         });
         let nodes = c.nodes.iter().map(|n| MemberId::of(n)).collect();
-        let [doubts, ids, _] = c.safeguards;
-        let keeper = Keeper::serve(mesh, c.accounts.clone(), (c.ttl, self.hold, [doubts, ids]), nodes);
+        let [keep_in_doubt, unique_top_ups, _] = c.safeguards;
+        let (ttl, longest_request) = (c.ttl, self.longest_request);
+        let settings = LeaderSettings { ttl, longest_request, keep_in_doubt, unique_top_ups };
+        let leader = Leader::serve(mesh, c.accounts.clone(), settings, nodes);
         let tell = move |reign: Option<birchswitch_mesh::Reign>| {
-            keeper.reigns(reign.map(|reign| Reign { token: reign.token }));
+            leader.set_term(reign.map(|reign| LeadershipTerm { token: reign.token }));
         };
         let task = Task { name: TASK.to_owned(), zone: String::new(), standbys: STANDBYS };
         tasks.attend(task, Reigning { mesh: mesh.clone(), tell: Rc::new(tell) });
     }
 
-    /// Gives back what is not spent, before the node ends.
-    pub async fn leave(&self) {
+    /// Returns what is not spent, before the node ends.
+    pub async fn return_allotments(&self) {
         let began = Instant::now();
-        self.purse.borrow_mut().close();
-        while self.purse.borrow().holds() && began.elapsed() < LEAVE {
+        self.allotments.borrow_mut().close();
+        while self.allotments.borrow().is_unsettled() && began.elapsed() < RETURN_TIMEOUT {
             self.short.notify_one();
             sleep(Duration::from_millis(20)).await;
         }
     }
 }
 
-/// Where requests pay.
-pub struct Till {
-    purse: Rc<RefCell<Purse>>,
+/// Charges requests to their tenants' accounts.
+pub struct AccountGuard {
+    allotments: Rc<RefCell<LocalAllotments>>,
     short: Arc<Notify>,
     renew: Duration,
-    /// A request is debited once, whatever it takes: off only in drills.
+    /// A request is debited once, however many attempts it takes. Off only in tests.
     once: bool,
     mesh: Mesh,
 }
 
-/// What a request is to pay.
-pub struct Bill {
-    purse: Rc<RefCell<Purse>>,
-    reserved: Reserved,
+/// What a request reserved.
+pub struct Charge {
+    allotments: Rc<RefCell<LocalAllotments>>,
+    reservation: Reservation,
     once: bool,
 }
 
-impl Till {
-    /// Takes a request's price, if it has one.
+impl AccountGuard {
+    /// Reserves a request's price, if it has one.
     pub fn enter(
         &self,
         entering: &birchswitch_host::Entering,
-    ) -> Result<Option<Bill>, birchswitch_host::Turned> {
+    ) -> Result<Option<Charge>, birchswitch_host::Turned> {
         let who = (entering.tenant.0, entering.class.0);
-        let reserved =
-            self.purse.borrow_mut().reserve(self.mesh.clock().now(), who, entering.key, entering.work);
+        let now = self.mesh.clock().now();
+        let reserved = self.allotments.borrow_mut().reserve(now, who, entering.key, entering.work);
+        let charge =
+            |reservation| Charge { allotments: self.allotments.clone(), reservation, once: self.once };
         match reserved {
-            Ok(reserved) => {
-                Ok(reserved.map(|reserved| Bill { purse: self.purse.clone(), reserved, once: self.once }))
-            }
-            Err(turned) => {
-                let (wait, why) = match turned {
-                    Turned::Paused => (PAUSED, "refused: the prepaid balance has run out"),
-                    Turned::Frozen => (PAUSED, "refused: the account is stopped"),
-                    Turned::NoPart => (self.renew, "refused: nothing of the prepaid balance is here now"),
-                };
-                if turned == Turned::NoPart {
+            Ok(reservation) => Ok(reservation.map(charge)),
+            Err(reason) => {
+                if reason == RejectionReason::NoAllotment {
                     self.short.notify_one();
                 }
-                Err(birchswitch_host::Turned { wait, why })
+                Err(self.rejection(reason))
             }
         }
     }
 }
 
-impl Bill {
-    /// An attempt goes to a server; `again`: another went before.
+impl AccountGuard {
+    /// What a client is told.
+    fn rejection(&self, reason: RejectionReason) -> birchswitch_host::Turned {
+        let (wait, why) = match reason {
+            RejectionReason::Paused => (RETRY_PAUSED, "refused: the prepaid balance has run out"),
+            RejectionReason::Frozen => (RETRY_PAUSED, "refused: the account is stopped"),
+            RejectionReason::NoAllotment => {
+                (self.renew, "refused: nothing of the prepaid balance is here now")
+            }
+        };
+        birchswitch_host::Turned { wait, why }
+    }
+}
+
+impl Charge {
+    /// An attempt is sent to a server; `again`: it is not the first.
     pub fn sent(&self, again: bool) {
         if again && !self.once {
-            self.purse.borrow_mut().debit_again(&self.reserved);
+            self.allotments.borrow_mut().debit_again(&self.reservation);
         }
     }
 
-    /// Pays, or takes back.
+    /// Debits the price if the request ran, or may have, and else releases it.
     pub fn settle(self, ran: bool) {
-        self.purse.borrow_mut().settle(self.reserved, ran);
+        self.allotments.borrow_mut().settle(self.reservation, ran);
     }
 }
 
-/// They, for operators.
-pub struct Asked {
-    /// For calls.
+/// Prepaid accounts for operators: figures and commands.
+pub struct WalletOperations {
+    /// The way to the leader.
     pub mesh: Mesh,
-    /// For figures.
-    pub purse: Rc<RefCell<Purse>>,
+    /// This node's allotments.
+    pub allotments: Rc<RefCell<LocalAllotments>>,
 }
 
 impl Wallet {
-    /// For operators.
-    pub fn asked(&self) -> Asked {
-        Asked { mesh: self.mesh.clone(), purse: self.purse.clone() }
+    /// What operators see and command.
+    pub fn operations(&self) -> WalletOperations {
+        WalletOperations { mesh: self.mesh.clone(), allotments: self.allotments.clone() }
     }
 }
 
-/// Reads a call's words.
-fn parse(words: &[String]) -> Result<Call, String> {
+/// Parses a command's words.
+fn parse(words: &[String]) -> Result<AdminCommand, String> {
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     let units = |text: &str| text.parse::<u64>().map_err(|_| format!("{text:?} is no whole number"));
     let own = |text: &str| text.to_owned();
     match words[..] {
-        [] => Ok(Call::Show),
-        ["DOUBTS"] => Ok(Call::Doubts),
-        ["TOPUP", account, id, amount] => Ok(Call::TopUp(own(account), own(id), units(amount)?)),
-        ["FREEZE", account] => Ok(Call::Freeze(own(account), true)),
-        ["THAW", account] => Ok(Call::Freeze(own(account), false)),
-        ["SETTLE", account, part, spent] => Ok(Call::Settle(own(account), units(part)?, units(spent)?)),
+        [] => Ok(AdminCommand::Show),
+        ["DOUBTS"] => Ok(AdminCommand::InDoubt),
+        ["TOPUP", account, id, amount] => Ok(AdminCommand::TopUp(own(account), own(id), units(amount)?)),
+        ["FREEZE", account] => Ok(AdminCommand::Freeze(own(account), true)),
+        ["THAW", account] => Ok(AdminCommand::Freeze(own(account), false)),
+        ["SETTLE", account, part, spent] => Ok(AdminCommand::Settle(own(account), units(part)?, units(spent)?)),
         _ => Err("WALLET wants nothing more, DOUBTS, TOPUP TENANT ID UNITS, FREEZE TENANT, THAW TENANT or SETTLE TENANT PART SPENT".to_owned()),
     }
 }
 
-impl Part for Asked {
+impl Part for WalletOperations {
     fn figures(&self, figures: &Figures) {
-        let totals: Vec<_> = self.purse.borrow().totals().collect();
+        let totals: Vec<_> = self.allotments.borrow().totals().collect();
         let of = |value: fn(&(String, u64, u64, u64)) -> u64| {
             totals.iter().map(move |t| (t.0.clone(), value(t) as f64)).collect::<Vec<_>>()
         };
@@ -211,9 +226,9 @@
 
     fn wallet(&self, words: &[String]) -> Option<Told> {
         let (mesh, wanted) = (self.mesh.clone(), parse(words));
-        Some(Box::pin(
-            async move { call(&mesh, wanted?).await.map(|text| text.trim_end().to_owned() + "\n") },
-        ))
+        Some(Box::pin(async move {
+            send_command(&mesh, wanted?).await.map(|text| text.trim_end().to_owned() + "\n")
+        }))
     }
 }
 
@@ -224,9 +239,9 @@
     #[test]
     fn calls_are_words() {
         let read = |text: &str| parse(&text.split_whitespace().map(str::to_owned).collect::<Vec<_>>());
-        assert_eq!(read(""), Ok(Call::Show));
-        assert_eq!(read("TOPUP t pay-1 500"), Ok(Call::TopUp("t".into(), "pay-1".into(), 500)));
-        assert_eq!(read("SETTLE t 7 0"), Ok(Call::Settle("t".into(), 7, 0)));
+        assert_eq!(read(""), Ok(AdminCommand::Show));
+        assert_eq!(read("TOPUP t pay-1 500"), Ok(AdminCommand::TopUp("t".into(), "pay-1".into(), 500)));
+        assert_eq!(read("SETTLE t 7 0"), Ok(AdminCommand::Settle("t".into(), 7, 0)));
         for wrong in ["TOPUP t pay-1", "TOPUP t pay-1 -5", "TOPUP t pay-1 5 6", "SETTLE t x 1", "all"] {
             assert!(read(wrong).is_err_and(|why| !why.contains('\n')), "{wrong}");
         }
