Wallet: a renewal costs what its node holds, not all accounts times all nodes

Need: at the planned size (390 nodes, 5,500 tenants) the leader went through every allotment of every account for each renewal: in never_received and expire (account/allocator.rs), in the sums of outstanding and in_doubt, and through all terms for each demand.

What a peer tells no longer overflows a sum.

--- a/crates/wallet/src/account/allocator.rs
+++ b/crates/wallet/src/account/allocator.rs
@@ -1,16 +1,26 @@
 //! The leader's decisions on a node's renewal: which entries to append to the ledger, and what to respond once they are committed.
+//!
+//! A renewal costs what its process holds and asks for, whatever other accounts and processes there are.
 
-use super::targets::{targets, units_to_keep, AccountTerms, NodeDemand};
+mod demand;
+
+use super::targets::{units_to_keep, AccountTerms, NodeDemand};
 use super::{Account, Entry, LedgerState};
 use crate::message::{AccountGrant, Demand, RenewalRequest};
 use birchswitch_mesh::{Time, Who};
-use std::collections::BTreeMap;
+use demand::{AccountDemand, Share};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// What a leader knows of the processes that renew, beside the accounts.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Allocator {
     sessions: BTreeMap<Who, Session>,
+    /// What processes need of each account that any of them needs.
+    demands: BTreeMap<String, AccountDemand>,
+    /// By account.
+    terms: BTreeMap<String, AccountTerms>,
+    rules: Rules,
     /// When its term began. A process that has not been heard since counts as heard then.
     began: Time,
 }
@@ -19,7 +29,8 @@
 #[derive(Debug, Default)]
 struct Session {
     last_heard: Time,
-    demands: BTreeMap<String, NodeDemand>,
+    /// Accounts of its latest renewal's demands.
+    accounts: Vec<String>,
 }
 
 /// Times, and safeguards that tests switch off.
@@ -37,42 +48,52 @@
 
 impl Allocator {
     /// That of a leader whose term begins now.
-    pub fn new(now: Time) -> Self {
-        Allocator { sessions: BTreeMap::new(), began: now }
+    pub fn new(now: Time, terms: &[AccountTerms], rules: Rules) -> Self {
+        Allocator {
+            sessions: BTreeMap::new(),
+            demands: BTreeMap::new(),
+            terms: terms.iter().map(|terms| (terms.account.clone(), terms.clone())).collect(),
+            rules,
+            began: now,
+        }
     }
 
-    /// Forgets processes that have been silent for too long, and marks what they held as in doubt. The entries are applied already.
-    pub fn expire(&mut self, state: &mut LedgerState, rules: &Rules, now: Time) -> Vec<Entry> {
+    /// Forgets processes that have been silent for too long, and marks what they hold as in doubt. The entries are applied already.
+    pub fn expire(&mut self, state: &mut LedgerState, now: Time) -> Vec<Entry> {
         let expired = |who: &Who| {
             let last_heard = self.sessions.get(who).map_or(self.began, |session| session.last_heard);
-            now >= last_heard + rules.expiry
+            now >= last_heard + self.rules.expiry
         };
         let mut entries = Vec::new();
-        for (name, account) in &state.accounts {
-            let lost = account.allotments.iter().filter(|(_, a)| !a.in_doubt && expired(&a.who));
-            for (number, _) in lost {
-                let (account, number) = (name.clone(), *number);
-                entries.push(match rules.keep_in_doubt {
+        for who in state.holders().filter(|who| expired(who)) {
+            for (name, number, _) in state.held_by(who).filter(|(_, _, allotment)| !allotment.in_doubt) {
+                let account = name.to_owned();
+                entries.push(match self.rules.keep_in_doubt {
                     true => Entry::MarkInDoubt { account, number },
                     false => Entry::Reclaim { account, number },
                 });
             }
         }
         entries.iter().for_each(|entry| state.apply(entry));
-        self.sessions.retain(|_, session| now < session.last_heard + rules.expiry);
+        let silent: Vec<Who> = self.sessions.keys().filter(|who| expired(who)).copied().collect();
+        silent.iter().for_each(|who| self.forget(who));
         entries
     }
 
+    fn forget(&mut self, who: &Who) {
+        let accounts = self.sessions.remove(who).unwrap_or_default().accounts;
+        accounts.iter().for_each(|account| self.withdraw(account, who));
+    }
+
     /// Decides on a renewal that came at `now` by the leader's clock and `time` by the ledger's. The entries are applied already.
     pub fn renew(
         &mut self,
         state: &mut LedgerState,
-        (terms, rules): (&[AccountTerms], &Rules),
         (now, time): (Time, u64),
         who: Who,
         renewal: &RenewalRequest,
     ) -> (Vec<Entry>, Vec<AccountGrant>) {
-        self.sessions.insert(who, Session { last_heard: now, demands: demands(renewal) });
+        self.note(now, who, renewal);
         let mut entries = Vec::new();
         let mut append = |state: &mut LedgerState, entry: Entry| {
             state.apply(&entry);
@@ -87,9 +108,10 @@
         }
         let mut grants = Vec::new();
         for demand in &renewal.demands {
-            let Some(terms) = terms.iter().find(|terms| terms.account == demand.account) else { continue };
+            let Some(terms) = self.terms.get(&demand.account) else { continue };
             pause_or_resume(state, terms, &mut append);
-            let grant = self.grant(state, (terms, rules), now, who);
+            let Some(demands) = self.demands.get_mut(&demand.account) else { continue };
+            let grant = grant(state, (terms, &self.rules), demands, now, who);
             if let Some((number, units)) = grant.allotment {
                 let (account, sequence) = (terms.account.clone(), renewal.sequence);
                 append(state, Entry::Allot { account, number, who, units, sequence });
@@ -99,41 +121,55 @@
         (entries, grants)
     }
 
-    /// What a process may hold of an account, beside all others that renew.
-    fn grant(
-        &self,
-        state: &LedgerState,
-        (terms, rules): (&AccountTerms, &Rules),
-        now: Time,
-        who: Who,
-    ) -> AccountGrant {
-        let name = &terms.account;
-        let alive = self.sessions.iter().filter(|(_, session)| now < session.last_heard + rules.ttl);
-        let asking: Vec<(&Who, NodeDemand)> =
-            alive.filter_map(|(who, session)| Some((who, *session.demands.get(name)?))).collect();
-        let demands: Vec<NodeDemand> = asking.iter().map(|(_, demand)| *demand).collect();
-        let free = free_units(state, terms);
-        let targets = targets(terms, free, &demands);
-        let own = asking.iter().position(|(asker, _)| **asker == who);
-        let (target, demand) = own.map_or((0, NodeDemand::default()), |n| (targets[n], demands[n]));
-        let lacking: u64 =
-            demands.iter().zip(&targets).map(|(d, target)| target.saturating_sub(d.holds)).sum();
-        let (paused, frozen) = state.accounts.get(name).map_or((false, false), |a| (a.paused, a.frozen));
-        let keep = if frozen { 0 } else { units_to_keep(target, &demand, lacking > free) };
-        let units = target.saturating_sub(demand.holds).min(free);
-        if units == 0 || paused || frozen {
-            return AccountGrant { account: name.clone(), allotment: None, keep, paused, frozen };
+    /// Takes a renewal's demands in the place of its process's earlier ones. Accounts without terms count for nothing.
+    fn note(&mut self, now: Time, who: Who, renewal: &RenewalRequest) {
+        let known: Vec<&Demand> =
+            renewal.demands.iter().filter(|demand| self.terms.contains_key(&demand.account)).collect();
+        let asked: BTreeSet<&str> = known.iter().map(|demand| demand.account.as_str()).collect();
+        let before = self.sessions.remove(&who).unwrap_or_default().accounts;
+        let dropped = before.iter().filter(|account| !asked.contains(account.as_str()));
+        dropped.for_each(|account| self.withdraw(account, &who));
+        for demand in &known {
+            let all = self.demands.entry(demand.account.clone()).or_default();
+            all.note(who, now, node_demand(demand));
         }
-        AccountGrant {
-            account: name.clone(),
-            allotment: Some((state.next_allotment, units)),
-            keep: keep.max(demand.holds) + units,
-            paused,
-            frozen,
+        let accounts = known.iter().map(|demand| demand.account.clone()).collect();
+        self.sessions.insert(who, Session { last_heard: now, accounts });
+    }
+
+    /// A process needs nothing of an account any more.
+    fn withdraw(&mut self, account: &str, who: &Who) {
+        if let Some(demand) = self.demands.get_mut(account) {
+            demand.forget(who);
+            if demand.is_empty() {
+                self.demands.remove(account);
+            }
         }
     }
 }
 
+/// What a process may hold of an account, beside all others that renew.
+fn grant(
+    state: &LedgerState,
+    (terms, rules): (&AccountTerms, &Rules),
+    demands: &mut AccountDemand,
+    now: Time,
+    who: Who,
+) -> AccountGrant {
+    let account = terms.account.clone();
+    let free = free_units(state, terms);
+    let Share { target, demand, lacking } = demands.share(terms, free, (now, rules.ttl), &who);
+    let (paused, frozen) = state.accounts.get(&account).map_or((false, false), |a| (a.paused, a.frozen));
+    let keep = if frozen { 0 } else { units_to_keep(target, &demand, lacking > free) };
+    let units = target.saturating_sub(demand.holds).min(free);
+    if units == 0 || paused || frozen {
+        return AccountGrant { account, allotment: None, keep, paused, frozen };
+    }
+    let allotment = Some((state.next_allotment, units));
+    let keep = keep.max(demand.holds).saturating_add(units);
+    AccountGrant { account, allotment, keep, paused, frozen }
+}
+
 /// Units that no allotment holds, overdraft included.
 fn free_units(state: &LedgerState, terms: &AccountTerms) -> u64 {
     let balance = state.accounts.get(&terms.account).map_or(0, Account::balance);
@@ -160,13 +196,10 @@
     }
 }
 
-fn demands(renewal: &RenewalRequest) -> BTreeMap<String, NodeDemand> {
-    let node_demand = |demand: &Demand| NodeDemand {
-        units_per_s: f64::from(demand.units_per_s),
-        largest_rejected: demand.largest_rejected,
-        holds: demand.holds.iter().map(|(_, units)| units).sum(),
-    };
-    renewal.demands.iter().map(|demand| (demand.account.clone(), node_demand(demand))).collect()
+fn node_demand(demand: &Demand) -> NodeDemand {
+    let holds = demand.holds.iter().map(|(_, units)| *units).fold(0, u64::saturating_add);
+    let (units_per_s, largest_rejected) = (f64::from(demand.units_per_s), demand.largest_rejected);
+    NodeDemand { units_per_s, largest_rejected, holds }
 }
 
 /// Whether a report says something that is not in the ledger.
@@ -187,13 +220,10 @@
 
 /// Allotments that a process never received: it renewed again after their response was sent, without them.
 fn never_received(state: &LedgerState, who: Who, renewal: &RenewalRequest) -> Vec<(String, u64)> {
-    let reported = |number: &u64| renewal.report.allotments.iter().any(|a| a.number == *number);
-    let mut lost = Vec::new();
-    for (name, account) in &state.accounts {
-        let own = account.allotments.iter().filter(|(_, a)| a.who == who && a.sequence < renewal.sequence);
-        lost.extend(own.filter(|(number, _)| !reported(number)).map(|(number, _)| (name.clone(), *number)));
-    }
-    lost
+    let reported: BTreeSet<u64> = renewal.report.allotments.iter().map(|reported| reported.number).collect();
+    let sent_before = state.held_by(&who).filter(|(_, _, allotment)| allotment.sequence < renewal.sequence);
+    let lost = sent_before.filter(|(_, number, _)| !reported.contains(number));
+    lost.map(|(account, number, _)| (account.to_owned(), number)).collect()
 }
 
 #[cfg(test)]
--- a/crates/wallet/src/account/allocator/tests.rs
+++ b/crates/wallet/src/account/allocator/tests.rs
@@ -57,13 +57,13 @@
     n: u64,
     renewal: &RenewalRequest,
 ) -> AccountGrant {
-    let (_, grants) = allocator.renew(state, (&terms(), &RULES), (s(now), now * 1000), who(n), renewal);
+    let (_, grants) = allocator.renew(state, (s(now), now * 1000), who(n), renewal);
     grants.into_iter().next().expect("a grant")
 }
 
 #[test]
 fn a_node_gets_what_lasts_ahead_and_what_it_never_got_is_taken_back() {
-    let (mut allocator, mut state) = (Allocator::new(s(0)), paid(1000));
+    let (mut allocator, mut state) = (Allocator::new(s(0), &terms(), RULES), paid(1000));
     let first = renew(&mut allocator, &mut state, 1, 1, &renewal(1, 10.0, 1, &[], &[]));
     assert_eq!(first.allotment, Some((0, 20)));
     // The response was lost: it renews again, without the allotment.
@@ -77,7 +77,7 @@
 
 #[test]
 fn the_last_units_are_collected_from_idle_nodes_for_one_that_can_use_them() {
-    let (mut allocator, mut state) = (Allocator::new(s(0)), paid(8));
+    let (mut allocator, mut state) = (Allocator::new(s(0), &terms(), RULES), paid(8));
     let idle = renew(&mut allocator, &mut state, 1, 1, &renewal(1, 4.0, 1, &[], &[]));
     let (number, units) = idle.allotment.expect("an allotment");
     assert_eq!(units, 4);
@@ -96,7 +96,7 @@
 
 #[test]
 fn it_pauses_when_nothing_is_left_anywhere_and_goes_on_from_enough() {
-    let (mut allocator, mut state) = (Allocator::new(s(0)), paid(2));
+    let (mut allocator, mut state) = (Allocator::new(s(0), &terms(), RULES), paid(2));
     let (number, units) = renew(&mut allocator, &mut state, 1, 1, &renewal(1, 9.0, 1, &[], &[]))
         .allotment
         .expect("an allotment");
@@ -119,7 +119,7 @@
 /// A paused account resumes only from `resume` units: whatever comes back after an early pause could not be spent.
 #[test]
 fn it_does_not_pause_while_the_last_units_are_on_their_way() {
-    let (mut allocator, mut state) = (Allocator::new(s(0)), paid(1));
+    let (mut allocator, mut state) = (Allocator::new(s(0), &terms(), RULES), paid(1));
     let lost = renew(&mut allocator, &mut state, 1, 1, &renewal(1, 9.0, 1, &[], &[]));
     assert_eq!(lost.allotment, Some((0, 1)));
     let other = renew(&mut allocator, &mut state, 1, 2, &renewal(1, 9.0, 1, &[], &[]));
@@ -133,15 +133,56 @@
 
 #[test]
 fn an_allotment_whose_process_is_gone_is_in_doubt_and_not_before_its_time() {
-    let (mut allocator, mut state) = (Allocator::new(s(0)), paid(100));
+    let (mut allocator, mut state) = (Allocator::new(s(0), &terms(), RULES), paid(100));
     let (_, units) = renew(&mut allocator, &mut state, 1, 1, &renewal(1, 10.0, 1, &[], &[]))
         .allotment
         .expect("an allotment");
-    assert_eq!(allocator.expire(&mut state, &RULES, s(4)), []);
-    assert_eq!(allocator.expire(&mut state, &RULES, s(5)).len(), 1);
+    assert_eq!(allocator.expire(&mut state, s(4)), []);
+    assert_eq!(allocator.expire(&mut state, s(5)).len(), 1);
     assert_eq!(
         (state.accounts["t"].in_doubt(), state.accounts["t"].balance()),
         (units, 100 - i128::from(units))
     );
-    assert_eq!(allocator.expire(&mut state, &RULES, s(9)), [], "once");
+    assert_eq!(allocator.expire(&mut state, s(9)), [], "once");
+}
+
+/// What a peer tells may be anything: sums do not overflow, and nothing is granted that is not there.
+#[test]
+fn absurd_holdings_are_borne() {
+    let (mut allocator, mut state) = (Allocator::new(s(0), &terms(), RULES), paid(100));
+    let absurd = renewal(1, f32::MAX, u64::MAX, &[(1, u64::MAX), (2, u64::MAX)], &[]);
+    assert_eq!(
+        renew(&mut allocator, &mut state, 1, 1, &absurd).allotment,
+        None,
+        "it says that it holds enough"
+    );
+    let wants = renewal(1, f32::MAX, u64::MAX, &[], &[]);
+    let got = renew(&mut allocator, &mut state, 1, 2, &wants).allotment.map_or(0, |(_, units)| units);
+    assert!(got <= 100, "{got}");
+}
+
+/// What a process told is forgotten with it: others get what it would have got.
+#[test]
+fn a_process_that_is_forgotten_asks_for_nothing() {
+    let (mut allocator, mut state) = (Allocator::new(s(0), &terms(), RULES), paid(40));
+    for n in 1..=2 {
+        renew(&mut allocator, &mut state, 1, n, &renewal(1, 1000.0, 0, &[], &[]));
+    }
+    let entries = allocator.expire(&mut state, s(5));
+    assert_eq!(entries.len(), 2, "{entries:?}");
+    state.apply(&Entry::TopUp { account: "t".into(), id: "b".into(), units: 100 });
+    let alone = renew(&mut allocator, &mut state, 6, 3, &renewal(1, 1000.0, 0, &[], &[]));
+    let free = 140 - i128::from(state.accounts["t"].in_doubt());
+    assert_eq!(i128::from(alone.allotment.expect("an allotment").1), free / 2);
+}
+
+/// An account that no settings name has no place in what a leader keeps.
+#[test]
+fn an_unknown_account_is_granted_nothing_and_not_kept() {
+    let (mut allocator, mut state) = (Allocator::new(s(0), &terms(), RULES), paid(40));
+    let mut unknown = renewal(1, 5.0, 1, &[], &[]);
+    unknown.demands[0].account = "unknown".into();
+    let (entries, grants) = allocator.renew(&mut state, (s(1), 1000), who(1), &unknown);
+    assert_eq!((entries, grants), (Vec::new(), Vec::new()));
+    assert!(allocator.demands.is_empty());
 }
--- a/crates/wallet/src/account/apply.rs
+++ b/crates/wallet/src/account/apply.rs
@@ -23,21 +23,38 @@
                 self.next_allotment = self.next_allotment.max(number + 1);
                 let (who, units, sequence) = (*who, *units, *sequence);
                 let allotment = Allotment { who, units, spent: 0, returned: 0, sequence, in_doubt: false };
-                self.account(account).allotments.insert(*number, allotment);
+                self.remove(account, *number);
+                self.account(account).insert(*number, allotment);
+                self.held_by.entry(who).or_default().insert((account.clone(), *number));
             }
             Entry::Report { who, report, time } => self.report(*who, report, *time),
             Entry::Reclaim { account, number } => {
-                self.account(account).allotments.remove(number);
+                self.remove(account, *number);
             }
             Entry::MarkInDoubt { account, number } => {
-                if let Some(allotment) = self.account(account).allotments.get_mut(number) {
-                    allotment.in_doubt = true;
+                self.account(account).change(*number, |allotment| allotment.in_doubt = true);
+            }
+            Entry::Settle { account, number, spent } => {
+                if let Some(allotment) = self.remove(account, *number) {
+                    let spent = (*spent).clamp(allotment.spent, allotment.units);
+                    self.account(account).spent += spent - allotment.spent;
                 }
             }
-            Entry::Settle { account, number, spent } => self.account(account).settle(*number, *spent),
         }
     }
 
+    /// Takes out an allotment, and returns it as it was.
+    fn remove(&mut self, account: &str, number: u64) -> Option<Allotment> {
+        let allotment = self.account(account).remove(number)?;
+        if let Some(held) = self.held_by.get_mut(&allotment.who) {
+            held.remove(&(account.to_owned(), number));
+            if held.is_empty() {
+                self.held_by.remove(&allotment.who);
+            }
+        }
+        Some(allotment)
+    }
+
     fn account(&mut self, name: &str) -> &mut Account {
         self.accounts.entry(name.to_owned()).or_default()
     }
@@ -46,7 +63,10 @@
         self.time = self.time.max(time);
         let now = self.time;
         for allotment in &report.allotments {
-            self.account(&allotment.account).report(who, allotment);
+            let closed = self.account(&allotment.account).report(who, allotment);
+            if closed {
+                self.remove(&allotment.account, allotment.number);
+            }
         }
         let latest = self.reports.entry(who).or_default();
         if report.number > latest.0 {
@@ -78,23 +98,36 @@
         self.top_up_ids.iter().any(|known| known == id)
     }
 
-    /// Applies a process's report of its own allotment. Totals only rise, and never beyond the allotment.
-    fn report(&mut self, who: Who, report: &AllotmentReport) {
-        let allotment = self.allotments.get_mut(&report.number);
-        let Some(allotment) = allotment.filter(|allotment| allotment.who == who) else { return };
-        let spent = report.spent.clamp(allotment.spent, allotment.units - allotment.returned);
-        self.spent += spent - allotment.spent;
-        allotment.spent = spent;
-        allotment.returned = report.returned.clamp(allotment.returned, allotment.units - allotment.spent);
-        if report.closed {
-            self.allotments.remove(&report.number);
+    fn insert(&mut self, number: u64, allotment: Allotment) {
+        self.totals.add(&allotment);
+        self.allotments.insert(number, allotment);
+    }
+
+    fn remove(&mut self, number: u64) -> Option<Allotment> {
+        let allotment = self.allotments.remove(&number)?;
+        self.totals.remove(&allotment);
+        Some(allotment)
+    }
+
+    fn change(&mut self, number: u64, change: impl FnOnce(&mut Allotment)) {
+        if let Some(allotment) = self.allotments.get_mut(&number) {
+            self.totals.remove(allotment);
+            change(allotment);
+            self.totals.add(allotment);
         }
     }
 
-    fn settle(&mut self, number: u64, spent: u64) {
-        if let Some(allotment) = self.allotments.remove(&number) {
-            self.spent += spent.clamp(allotment.spent, allotment.units) - allotment.spent;
+    /// Applies a process's report of its own allotment, whose figures only rise, and never beyond the allotment. Whether it is closed.
+    fn report(&mut self, who: Who, report: &AllotmentReport) -> bool {
+        let Some(allotment) = self.allotments.get(&report.number) else { return false };
+        if allotment.who != who {
+            return false;
         }
+        let spent = report.spent.clamp(allotment.spent, allotment.units - allotment.returned);
+        let returned = report.returned.clamp(allotment.returned, allotment.units - spent);
+        self.spent += spent - allotment.spent;
+        self.change(report.number, |allotment| (allotment.spent, allotment.returned) = (spent, returned));
+        report.closed
     }
 
     /// Refunds the debit if its key was debited before within its window.
--- a/crates/wallet/src/account/apply/tests.rs
+++ b/crates/wallet/src/account/apply/tests.rs
@@ -110,6 +110,10 @@
             let a = &b.accounts["t"];
             let sum: i128 = sums(&b).iter().sum();
             prop_assert_eq!(sum, i128::from(a.topped_up));
+            let remaining: u64 = a.allotments.values().map(Allotment::remaining).sum();
+            prop_assert_eq!(remaining, a.outstanding() + a.in_doubt());
+            let snapshot = postcard::to_stdvec(&b).expect("it encodes");
+            prop_assert_eq!(LedgerState::from_snapshot(&snapshot), Ok(b.clone()), "sums and holders too");
             prop_assert!(a.allotments.values().all(|p| p.spent + p.returned <= p.units));
         }
     }
--- a/crates/wallet/src/account/mod.rs
+++ b/crates/wallet/src/account/mod.rs
@@ -4,13 +4,15 @@
 mod apply;
 mod entry;
 pub(crate) mod targets;
+mod totals;
 
 pub use entry::{AllotmentReport, Entry, KeyDebit, Report};
 pub use targets::AccountTerms;
 
 use birchswitch_mesh::Who;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use totals::Totals;
 
 /// Payment ids that are remembered for each account.
 pub(crate) const MAX_TOP_UP_IDS: usize = 100_000;
@@ -51,7 +53,7 @@
     /// Units that were debited a second time for a key, and refunded.
     pub refunded: u64,
     /// Allotments that are out, by number.
-    pub allotments: BTreeMap<u64, Allotment>,
+    allotments: BTreeMap<u64, Allotment>,
     /// Ids of payments, the latest last.
     pub(crate) top_up_ids: VecDeque<String>,
     /// Hashes of keys that were debited, and until when they count, in milliseconds of the ledger's time.
@@ -60,9 +62,17 @@
     pub frozen: bool,
     /// It ran out, and was not topped up enough since.
     pub paused: bool,
+    /// Sums over its allotments. Not stored: [`LedgerState::from_snapshot`] works them out.
+    #[serde(skip)]
+    totals: Totals,
 }
 
 impl Account {
+    /// Allotments that are out, by number.
+    pub fn allotments(&self) -> &BTreeMap<u64, Allotment> {
+        &self.allotments
+    }
+
     /// Units that no allotment holds: topped up = balance + outstanding + spent + in doubt.
     pub fn balance(&self) -> i128 {
         i128::from(self.topped_up)
@@ -73,16 +83,12 @@
 
     /// Units that processes may still spend.
     pub fn outstanding(&self) -> u64 {
-        self.remaining_where(|allotment| !allotment.in_doubt)
+        self.totals.outstanding()
     }
 
     /// Units that processes may have spent which did not report.
     pub fn in_doubt(&self) -> u64 {
-        self.remaining_where(|allotment| allotment.in_doubt)
-    }
-
-    fn remaining_where(&self, counts: impl Fn(&Allotment) -> bool) -> u64 {
-        self.allotments.values().filter(|allotment| counts(allotment)).map(Allotment::remaining).sum()
+        self.totals.in_doubt()
     }
 }
 
@@ -97,4 +103,34 @@
     pub(crate) reports: BTreeMap<Who, (u64, u64)>,
     /// The ledger's time: milliseconds that never go back.
     pub time: u64,
+    /// The accounts and numbers of each process's allotments. Not stored: [`LedgerState::from_snapshot`] works it out.
+    #[serde(skip)]
+    held_by: BTreeMap<Who, BTreeSet<(String, u64)>>,
+}
+
+impl LedgerState {
+    /// Decodes a snapshot: the bytes that postcard makes of a state.
+    pub fn from_snapshot(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let mut state: LedgerState = postcard::from_bytes(bytes)?;
+        for (name, account) in &mut state.accounts {
+            for (number, allotment) in &account.allotments {
+                account.totals.add(allotment);
+                state.held_by.entry(allotment.who).or_default().insert((name.clone(), *number));
+            }
+        }
+        Ok(state)
+    }
+
+    /// Processes that hold allotments, in doubt or not.
+    pub(crate) fn holders(&self) -> impl Iterator<Item = &Who> {
+        self.held_by.keys()
+    }
+
+    /// The accounts, numbers and allotments that a process holds, in doubt or not.
+    pub(crate) fn held_by(&self, who: &Who) -> impl Iterator<Item = (&str, u64, &Allotment)> {
+        self.held_by.get(who).into_iter().flatten().filter_map(|(name, number)| {
+            let allotment = self.accounts.get(name)?.allotments.get(number)?;
+            Some((name.as_str(), *number, allotment))
+        })
+    }
 }
--- a/crates/wallet/src/account/targets.rs
+++ b/crates/wallet/src/account/targets.rs
@@ -39,7 +39,7 @@
 
 /// What each node should hold. `free` are the units that no node holds, overdraft included.
 pub fn targets(terms: &AccountTerms, free: u64, nodes: &[NodeDemand]) -> Vec<u64> {
-    let pool = free + nodes.iter().map(|node| node.holds).sum::<u64>();
+    let pool = nodes.iter().map(|node| node.holds).fold(free, u64::saturating_add);
     let mut targets = fair_targets(terms, pool, nodes);
     let mut left = pool - targets.iter().sum::<u64>().min(pool);
     // Where a fair share is less than a request's price, the last units go whole to nodes that can use them.
--- a/crates/wallet/src/leader/admin.rs
+++ b/crates/wallet/src/leader/admin.rs
@@ -50,7 +50,7 @@
 }
 
 fn check_settlement(state: &LedgerState, account: &str, number: u64, spent: u64) -> Result<(), String> {
-    let allotment = state.accounts.get(account).and_then(|a| a.allotments.get(&number));
+    let allotment = state.accounts.get(account).and_then(|a| a.allotments().get(&number));
     let Some(allotment) = allotment.filter(|allotment| allotment.in_doubt) else {
         return Err(format!("{account} has no part {number} in doubt"));
     };
@@ -93,7 +93,7 @@
 fn in_doubt(state: &LedgerState) -> String {
     let mut text = String::from("# account part units spent_at_least member started\n");
     for (name, account) in &state.accounts {
-        for (number, allotment) in account.allotments.iter().filter(|(_, a)| a.in_doubt) {
+        for (number, allotment) in account.allotments().iter().filter(|(_, a)| a.in_doubt) {
             let (units, spent) = (allotment.units, allotment.spent);
             let (member, started) = (allotment.who.id.0, allotment.who.life.started);
             text += &format!("{name} {number} {units} {spent} {member:x} {started}\n");
--- a/crates/wallet/src/leader/mod.rs
+++ b/crates/wallet/src/leader/mod.rs
@@ -154,12 +154,12 @@
         Err(error) => return error.to_string(),
     };
     tracing::info!(target: "wallet", kind = "wallet_kept", token);
-    let mut allocator = Allocator::new(context.mesh.clock().now());
+    let mut allocator = Allocator::new(context.mesh.clock().now(), &context.terms, context.rules);
     let mut check = interval(CHECK_INTERVAL);
     loop {
-        let mut batch = Vec::new();
+        let (mut batch, mut entries) = (Vec::new(), Vec::new());
         tokio::select! {
-            _ = check.tick() => {}
+            _ = check.tick() => entries = allocator.expire(&mut state, context.mesh.clock().now()),
             received = requests.recv_many(&mut batch, MAX_BATCH) => {
                 if received == 0 {
                     return "no more questions".to_owned();
@@ -167,14 +167,12 @@
             }
         }
         let now = context.mesh.clock().now();
-        let mut entries = allocator.expire(&mut state, &context.rules, now);
         let mut responses = Vec::new();
         for PendingRequest { who, request, respond } in batch {
             let response = match request {
                 Request::Renew(renewal) => {
                     let times = (now, unix_time_ms());
-                    let rules = (context.terms.as_slice(), &context.rules);
-                    let (new, accounts) = allocator.renew(&mut state, rules, times, who, &renewal);
+                    let (new, accounts) = allocator.renew(&mut state, times, who, &renewal);
                     entries.extend(new);
                     Response::Renewed(RenewalResponse { token, report: renewal.report.number, accounts })
                 }
--- a/crates/wallet/src/ledger/recover.rs
+++ b/crates/wallet/src/ledger/recover.rs
@@ -77,7 +77,8 @@
     let mut recovered = nothing;
     if head.base.1 > 0 {
         recovered.snapshot = snapshot(mesh, from, token).await?;
-        recovered.state = postcard::from_bytes(&recovered.snapshot).map_err(|_| WriterError::Corrupt)?;
+        recovered.state =
+            LedgerState::from_snapshot(&recovered.snapshot).map_err(|_| WriterError::Corrupt)?;
     }
     let mut next = head.base.1 + 1;
     while next <= head.last.1 {
--- a/crates/wallet/src/lib.rs
+++ b/crates/wallet/src/lib.rs
@@ -31,6 +31,7 @@
 mod price;
 mod settings;
 
+pub use account::allocator::{Allocator, Rules};
 pub use account::{Account, AccountTerms, Allotment, AllotmentReport, Entry, KeyDebit, LedgerState, Report};
 pub use client::allotments::{LocalAllotments, RejectionReason, Reservation};
 pub use client::renewal::{renew_allotments, send_command, RenewalStep};
