Limits: a question costs the keeper the same however many nodes ask

Need: for each question the keeper's books (crates/quota/src/books.rs, ask) went through all lives, to drop what had ended and to sum what the others may hold, and found a limit by going through all limits; a node did the same for each grant.

Change: the sum is kept as lives change, and worked out anew with what ended at most every 50 ms, as parts are; what ended counts until then, so that the bound holds as before. Limits are found by id.

--- a/crates/quota/src/asker.rs
+++ b/crates/quota/src/asker.rs
@@ -5,6 +5,7 @@
 use birchswitch_lease::task_id;
 use birchswitch_mesh::{Mesh, Time};
 use bytes::Bytes;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -28,6 +29,7 @@
     apply: mpsc::UnboundedSender<Apply>,
 ) {
     let mut demands: Vec<Demand> = counts.iter().map(|c| Demand::new(c)).collect();
+    let places: BTreeMap<u64, usize> = limits.iter().enumerate().map(|(n, limit)| (limit.id, n)).collect();
     let mut held: Vec<Option<(Held, Time)>> = vec![None; limits.len()];
     let (mut heard, mut looked) = (0, Instant::now());
     let mut every = interval(terms.renew);
@@ -59,7 +61,7 @@
         let mut grants = Vec::new();
         let mut now_held = held.clone();
         for issue in &word.issues {
-            let Some(n) = limits.iter().position(|l| l.id == issue.limit) else { continue };
+            let Some(&n) = places.get(&issue.limit) else { continue };
             if issue.part.sound() {
                 grants.push((n, issue.part, until));
                 let held = Held { token: word.token, number: issue.number, part: issue.part };
--- a/crates/quota/src/books.rs
+++ b/crates/quota/src/books.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Parts are worked out anew so often at most.
+/// Parts, and the sum of what may be held, are worked out anew so often at most: both go through all lives.
 const FRESH: Duration = Duration::from_millis(50);
 /// Where units do not reach for all, a node keeps one for so long, and goes without for no longer while others have had theirs.
 const TURN: Duration = Duration::from_secs(3);
@@ -67,8 +67,34 @@
     /// What of that was confirmed by its nodes: all that is parted until then.
     adopted: Part,
     lives: BTreeMap<Who, Life>,
+    /// What all lives together may hold. What ended since it was worked out counts still.
+    sum: Sum,
     number: u64,
     parted: Option<Time>,
+    tidied: Time,
+}
+
+/// A sum to which parts are added, and from which they are taken.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    flow: f64,
+    stock: f64,
+}
+
+impl Sum {
+    fn add(&mut self, part: Part) {
+        self.flow += part.flow;
+        self.stock += part.stock;
+    }
+
+    fn take(&mut self, part: Part) {
+        self.flow -= part.flow;
+        self.stock -= part.stock;
+    }
+
+    fn part(self) -> Part {
+        Part { flow: self.flow, stock: self.stock }
+    }
 }
 
 impl Books {
@@ -87,8 +113,10 @@
             quarantine,
             adopted: Part::NONE,
             lives: BTreeMap::new(),
+            sum: Sum::default(),
             number: 0,
             parted: None,
+            tidied: now,
         }
     }
 
@@ -109,7 +137,9 @@
     /// What it holds of an earlier keeper's is taken up only from one that has heard this one's token: it asked after this one began, and
     /// the grant had not ended then, so that the earlier one never gave it to another; and it takes no more from that one.
     pub fn ask(&mut self, now: Time, who: Who, heard: u64, need: &LimitNeed) -> Option<Issue> {
-        self.tidy(now);
+        if now >= self.tidied + FRESH {
+            self.tidy(now);
+        }
         if self.lives.len() >= LIVES && !self.lives.contains_key(&who) {
             return None;
         }
@@ -130,6 +160,7 @@
         }
         let fresh = !self.lives.contains_key(&who);
         let life = self.lives.entry(who).or_insert(new);
+        self.sum.take(life.most());
         (life.heard, life.wants) = (now, need.wants.clone());
         life.out =
             if matches!(self.limit.measure, Measure::InFlight { .. }) { f64::from(need.out) } else { 0.0 };
@@ -147,23 +178,26 @@
         if fresh || self.parted.is_none_or(|at| now >= at + FRESH) {
             self.part(now);
         }
-        let others = self.lives.iter().filter(|(w, _)| **w != who);
-        let others = others.fold(Part::NONE, |sum, (_, l)| sum.plus(l.most()));
-        let free = self.to_part(now).less(others);
+        // Without its own: that is added again below.
+        let free = self.to_part(now).less(self.sum.part());
         let life = self.lives.get_mut(&who)?;
         let given = life.target.min(Part { stock: free.stock.floor(), ..free });
         self.number += 1;
         let issued = Issued { number: self.number, part: given, over: now + held };
         // Those before it may be what the node holds until it says otherwise; of many in a row the most that any was.
         life.issued.push(issued);
+        self.sum.add(life.most());
         Some(Issue { limit: self.limit.id, number: issued.number, part: given })
     }
 
     /// Forgets what is surely over.
     fn tidy(&mut self, now: Time) {
+        self.tidied = now;
         self.lives.values_mut().for_each(|l| l.issued.retain(|i| now < i.over));
         let held = self.terms.held(&self.limit, &self.clock);
         self.lives.retain(|_, l| !l.issued.is_empty() || now < l.heard + held);
+        self.sum = Sum::default();
+        self.lives.values().for_each(|l| self.sum.add(l.most()));
     }
 
     /// Works out what each life that asks should have.
@@ -193,7 +227,7 @@
     /// What may be held by all lives together: never more than the whole.
     pub fn outstanding(&mut self, now: Time) -> Part {
         self.tidy(now);
-        self.lives.values().fold(Part::NONE, |sum, l| sum.plus(l.most()))
+        self.sum.part()
     }
 
     /// Lives that ask.
--- a/crates/quota/src/keeper.rs
+++ b/crates/quota/src/keeper.rs
@@ -2,6 +2,7 @@
 
 use crate::{Books, Limit, Need, Terms, Word};
 use birchswitch_mesh::{Mesh, Seat, Sitting, Time, Who};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// The mesh's lane for limits.
@@ -12,7 +13,8 @@
 /// The books of all limits, under one token.
 pub struct Keeper {
     token: u64,
-    books: Vec<(u64, Books)>,
+    /// By the limits' ids.
+    books: BTreeMap<u64, Books>,
 }
 
 impl Keeper {
@@ -37,7 +39,7 @@
 
     fn answer(&mut self, now: Time, who: Who, need: Need) -> Word {
         let issue = |of: &crate::LimitNeed| {
-            let (_, books) = self.books.iter_mut().find(|b| b.0 == of.limit)?;
+            let books = self.books.get_mut(&of.limit)?;
             books.ask(now, who, need.heard, of)
         };
         Word { token: self.token, issues: need.limits.iter().filter_map(issue).collect() }
