HTTP: a client that leaves during or after a large upload is noticed

Seen by reading where a client's leaving meets a further attempt: crates/http/src/front/answer.rs, uploading, waited for the answer and for the body, and never for the client. So a request of more than 64 KiB was sent, or sent again, long after its client had gone. Ruled out: bodies held whole (while_wanted watches), the Thrift front (it holds bodies whole).

Change: uploading asks the system for the connection's end, as for floods. A full receive window hides that end behind bytes that nobody reads while a connection comes up, so up to 256 KiB are read ahead until an attempt reads, where the room for kept bodies allows it. A body that breaks off meanwhile ends its request.

--- a/crates/http/src/body/mod.rs
+++ b/crates/http/src/body/mod.rs
@@ -72,6 +72,10 @@
         left.map(|left| self.0.set(left)).is_some()
     }
 
+    fn left(&self) -> usize {
+        self.0.get()
+    }
+
     fn give_back(&self, bytes: usize) {
         self.0.set(self.0.get() + bytes);
     }
--- a/crates/http/src/body/upload.rs
+++ b/crates/http/src/body/upload.rs
@@ -1,6 +1,6 @@
 //! A request's body that is too large to be held whole: it comes once, and is kept for further attempts while there is room.
 
-use super::{until, BodyError, BufferBudget, MOST, PATIENCE};
+use super::{until, BodyError, BufferBudget, HELD, MOST, PATIENCE};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
@@ -12,6 +12,9 @@
 use tokio::sync::Notify;
 use tokio::time::{timeout, Instant};
 
+/// The most of a body that is read before an attempt reads it.
+const MOST_AHEAD: u64 = 4 * HELD as u64;
+
 /// A request's body that is too large to be held whole.
 pub struct Upload {
     state: RefCell<State>,
@@ -91,6 +94,26 @@
         }
     }
 
+    /// Reads ahead as long as no attempt reads: what waits unread hides the end of the client's connection. Returns once an attempt
+    /// reads, the last byte has come, or as much is kept as may be. An error: the client broke off.
+    pub async fn read_ahead(&self) -> Result<(), BodyError> {
+        const NO_ATTEMPT: u32 = 0;
+        while self.may_read_ahead() {
+            match poll_fn(|cx| self.poll_source(cx, NO_ATTEMPT)).await {
+                Some(Ok(_)) => {}
+                Some(Err(BodyError::Taken)) | None => break,
+                Some(Err(error)) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether all that one read may bring can be kept.
+    fn may_read_ahead(&self) -> bool {
+        let state = self.state.borrow();
+        !state.forgotten && state.over.is_none() && state.read < MOST_AHEAD && self.room.left() > HELD
+    }
+
     /// Whether what still comes is not waited for any longer: its sender, or who takes it, is too slow.
     pub fn stuck(&self) -> bool {
         let state = self.state.borrow();
--- a/crates/http/src/front/answer.rs
+++ b/crates/http/src/front/answer.rs
@@ -7,7 +7,7 @@
 use crate::gate::{Problem, ENDING};
 use crate::upstream::HttpUpstream;
 use birchswitch_engine::{Answer, Incoming};
-use birchswitch_host::{Request as Taking, Taken};
+use birchswitch_host::{socket, Request as Taking, Taken};
 use bytes::Bytes;
 use finchvale::Time;
 use hyper::body::Incoming as Body;
@@ -90,7 +90,7 @@
         let answer = match upload {
             None => while_wanted(&mut taken, client).await,
             Some(upload) => {
-                let answer = uploading(&mut taken, &upload, times).await;
+                let answer = uploading(&mut taken, client, &upload, times).await;
                 // A client reads nothing before it has written all.
                 spawn_local(upload.drain());
                 answer
@@ -149,22 +149,31 @@
 }
 
 /// Waits for the answer to a request whose body still comes. Its time begins with the last byte, and is over where nothing more
-/// comes or is taken.
+/// comes or is taken. A client that ends its sending has gone, be all of the body read or not. As long as no attempt reads the body,
+/// some of it is read ahead, so that the system learns of the connection's end.
 async fn uploading(
     taken: &mut Taken<HttpUpstream>,
+    client: &Client,
     upload: &Rc<Upload>,
     times: impl Fn(Instant) -> (Instant, Instant),
 ) -> Answer<Response<Reply>> {
-    let mut open = true;
+    let (mut open, mut unread) = (true, true);
     loop {
         tokio::select! {
             biased;
             answer = taken.answer() => return answer,
+            () = socket::left(&client.socket) => break,
             () = upload.whole(), if open => {
                 open = false;
                 let (due, last) = times(Instant::now());
                 taken.set_due(due, last);
             }
+            ahead = upload.read_ahead(), if unread => {
+                unread = false;
+                if ahead.is_err() {
+                    break;
+                }
+            }
             () = tokio::time::sleep(UPLOAD_LOOK), if open => {
                 if upload.stuck() {
                     open = false;
@@ -173,6 +182,8 @@
             }
         }
     }
+    taken.give_up();
+    taken.answer().await
 }
 
 /// The answer to what is malformed. Nothing more is read on its connection: who sends one such thing is not trusted to
--- a/node/tests/departures.rs
+++ b/node/tests/departures.rs
@@ -121,6 +121,54 @@
     assert!(sent.is_empty(), "sent for nobody: {sent:?}");
 }
 
+/// A request whose body is too large to be held whole.
+fn upload(id: &str) -> (String, String) {
+    let body = "0123456789".repeat(20_000);
+    let head = format!(
+        "POST /unsafe HTTP/1.1\r\nHost: a\r\nX-Request-ID: {id}\r\nX-Timeout: 20000m\r\nX-Tenant-Id: one\r\n\
+         Content-Length: {}\r\n\r\n",
+        body.len()
+    );
+    (head, body)
+}
+
+/// The same for a client that leaves behind a large body, or in the midst of it: nobody reads on while the connection comes up.
+#[tokio::test]
+async fn nothing_is_sent_of_a_large_body_whose_client_went() {
+    for part in [1, 2] {
+        let (listener, address, filling) = full_listener().await;
+        let discovery = Peer::new().await;
+        let node = Node::with(&discovery, settings(), 1024).await;
+        let (mut watch, _) = discovery.watch().await;
+        watch.list(1, true, &[member("s", address, "active")]).await;
+        node.ready().await;
+        let mut client = node.client().await;
+        let (head, body) = upload("a");
+        client.write(&head).await;
+        client.write(&body[..body.len() / part]).await;
+        node.get("/health/live").await; // Its beginning has been read, and its connection is under way.
+        client.end_sending().await;
+        tokio::time::sleep(Duration::from_millis(100)).await; // The bound of the terms.
+        let_in(&listener, &filling).await;
+        let (stream, _) = within("the node's connection", listener.accept()).await.expect("a connection");
+        // The connection is up for the node too, and what it had to write is on its way.
+        node.get("/health/live").await;
+        drop(node);
+        let sent = all_sent(stream).await;
+        assert!(sent.is_empty(), "sent for nobody: {} bytes, one in {part} parts was sent", sent.len());
+    }
+}
+
+/// Nor is a large body followed by a further attempt once its client has gone.
+#[tokio::test]
+async fn a_large_body_is_not_sent_again_for_a_client_that_went() {
+    let (head, body) = upload("a");
+    let mut left = asked(&(head + &body)).await;
+    left.client.end_sending().await;
+    tokio::time::sleep(Duration::from_millis(100)).await; // The bound of the terms.
+    left.no_attempt_follows().await;
+}
+
 /// A client waits for a place, sends its request and leaves before it gets one.
 #[tokio::test]
 async fn a_client_that_left_the_queue_is_not_served() {
