Tests: a node is set up from a list in one way

Eight tests repeated the five lines that serving_within and the new Node::listing hold. departures, lists, clients and rude pass, 41 tests as before.

--- a/crates/standin/src/scripted/node.rs
+++ b/crates/standin/src/scripted/node.rs
@@ -109,11 +109,22 @@
         sockets: u32,
         settings: Value,
         servers: &[(&str, &Peer)],
+    ) -> (Self, Peer, Watch) {
+        let servers: Vec<_> = servers.iter().map(|(id, server)| (*id, server.address())).collect();
+        Node::listing(sockets, settings, &servers).await
+    }
+
+    /// The same with servers at these addresses, whoever listens there.
+    pub async fn listing(
+        sockets: u32,
+        settings: Value,
+        servers: &[(&str, SocketAddr)],
     ) -> (Self, Peer, Watch) {
         let discovery = Peer::new().await;
         let node = Node::with(&discovery, settings, sockets).await;
         let (mut watch, _) = discovery.watch().await;
-        let members: Vec<Value> = servers.iter().map(|s| member(s.0, s.1.address(), "active")).collect();
+        let members: Vec<Value> =
+            servers.iter().map(|(id, address)| member(id, *address, "active")).collect();
         watch.list(1, true, &members).await;
         node.ready().await;
         (node, discovery, watch)
--- a/node/tests/clients.rs
+++ b/node/tests/clients.rs
@@ -48,11 +48,7 @@
 #[tokio::test]
 async fn more_connections_than_descriptors() {
     let server = Peer::new().await;
-    let discovery = Peer::new().await;
-    let node = Node::with(&discovery, settings(), 64).await;
-    let (mut watch, _) = discovery.watch().await;
-    watch.list(1, true, &[member("s", server.address(), "active")]).await;
-    node.ready().await;
+    let (node, _discovery, _watch) = Node::serving_within(64, settings(), &[("s", &server)]).await;
     let mut crowd = Vec::new();
     for k in 0..100 {
         let mut client = node.client().await;
@@ -73,11 +69,7 @@
 #[tokio::test]
 async fn a_burst_of_idle_connections_keeps_nobody_out() {
     let server = Peer::new().await;
-    let discovery = Peer::new().await;
-    let node = Node::with(&discovery, settings(), 64).await;
-    let (mut watch, _) = discovery.watch().await;
-    watch.list(1, true, &[member("s", server.address(), "active")]).await;
-    node.ready().await;
+    let (node, _discovery, _watch) = Node::serving_within(64, settings(), &[("s", &server)]).await;
     node.signal("STOP").await;
     let mut crowd = Vec::new();
     for _ in 0..100 {
@@ -96,11 +88,7 @@
 #[tokio::test]
 async fn a_burst_of_requests_is_served() {
     let server = Peer::new().await;
-    let discovery = Peer::new().await;
-    let node = Node::with(&discovery, settings(), 64).await;
-    let (mut watch, _) = discovery.watch().await;
-    watch.list(1, true, &[member("s", server.address(), "active")]).await;
-    node.ready().await;
+    let (node, _discovery, _watch) = Node::serving_within(64, settings(), &[("s", &server)]).await;
     node.signal("STOP").await;
     let mut crowd = Vec::new();
     for _ in 0..40 {
--- a/node/tests/departures.rs
+++ b/node/tests/departures.rs
@@ -105,11 +105,7 @@
 #[tokio::test]
 async fn nothing_is_sent_over_a_connection_that_comes_up_after_the_client_went() {
     let (listener, address, filling) = full_listener().await;
-    let discovery = Peer::new().await;
-    let node = Node::with(&discovery, settings(), 1024).await;
-    let (mut watch, _) = discovery.watch().await;
-    watch.list(1, true, &[member("s", address, "active")]).await;
-    node.ready().await;
+    let (node, _discovery, _watch) = Node::listing(1024, settings(), &[("s", address)]).await;
     let mut client = node.client().await;
     client.write(&[request("a"), request("b")].concat()).await;
     node.get("/health/live").await; // The request has been read, and its connection is under way.
@@ -137,11 +133,7 @@
 async fn nothing_is_sent_of_a_large_body_whose_client_went() {
     for part in [1, 2] {
         let (listener, address, filling) = full_listener().await;
-        let discovery = Peer::new().await;
-        let node = Node::with(&discovery, settings(), 1024).await;
-        let (mut watch, _) = discovery.watch().await;
-        watch.list(1, true, &[member("s", address, "active")]).await;
-        node.ready().await;
+        let (node, _discovery, _watch) = Node::listing(1024, settings(), &[("s", address)]).await;
         let mut client = node.client().await;
         let (head, body) = upload("a");
         client.write(&head).await;
--- a/node/tests/lists.rs
+++ b/node/tests/lists.rs
@@ -66,11 +66,7 @@
 #[tokio::test]
 async fn a_drain_told_while_connecting_keeps_the_request_back() {
     let (listener, address, filling) = full_listener().await;
-    let discovery = Peer::new().await;
-    let node = Node::with(&discovery, settings(), 1024).await;
-    let (mut watch, _) = discovery.watch().await;
-    watch.list(1, true, &[member("s", address, "active")]).await;
-    node.ready().await;
+    let (node, _discovery, mut watch) = Node::listing(1024, settings(), &[("s", address)]).await;
     let mut client = node.client().await;
     client.send("unsafe", "20000m").await;
     node.get("/health/live").await; // The request has been read, and its connection is under way.
@@ -91,11 +87,7 @@
 async fn a_move_told_while_connecting_sends_nothing_to_the_old_address() {
     let new = Peer::new().await;
     let (listener, address, filling) = full_listener().await;
-    let discovery = Peer::new().await;
-    let node = Node::with(&discovery, settings(), 1024).await;
-    let (mut watch, _) = discovery.watch().await;
-    watch.list(1, true, &[member("s", address, "active")]).await;
-    node.ready().await;
+    let (node, _discovery, mut watch) = Node::listing(1024, settings(), &[("s", address)]).await;
     let mut client = node.client().await;
     client.send("unsafe", "20000m").await;
     node.get("/health/live").await; // The request has been read, and its connection is under way.
--- a/node/tests/rude.rs
+++ b/node/tests/rude.rs
@@ -117,11 +117,7 @@
 #[tokio::test]
 async fn a_silent_crowd_pushes_nobody_out() {
     let server = Peer::new().await;
-    let discovery = Peer::new().await;
-    let node = Node::with(&discovery, settings(), 64).await;
-    let (mut watch, _) = discovery.watch().await;
-    watch.list(1, true, &[member("s", server.address(), "active")]).await;
-    node.ready().await;
+    let (node, _discovery, _watch) = Node::serving_within(64, settings(), &[("s", &server)]).await;
     let serving = tokio::spawn(async move {
         let mut wires = tokio::task::JoinSet::new();
         loop {
