--- a/node/src/fleet/wallet.rs
+++ b/node/src/fleet/wallet.rs
@@ -150,9 +150,7 @@
             }
         }
     }
-}
 
-impl AccountGuard {
     /// What a client is told.
     fn rejection(&self, reason: RejectionReason) -> birchswitch_host::Turned {
         let (wait, why) = match reason {
