Stand-ins: clients of a rig and of a fleet connect in one way

rig/load.rs had written again what client.rs does. The wallet's first test, which uses the one, and the package's unit tests pass; clients of a fleet (the demonstration) were not run again.

--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -7,6 +7,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
+use std::error::Error;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -64,7 +65,7 @@
     idle: Vec<RefCell<Vec<Sender>>>,
 }
 
-type Sender = http1::SendRequest<Full<Bytes>>;
+pub(crate) type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// What came of one try.
 enum Reply {
@@ -127,9 +128,9 @@
             let fresh = kept.is_none();
             let mut sender = match kept {
                 Some(sender) => sender,
-                None => match self.connect(node).await {
-                    Some(sender) => sender,
-                    None => return Reply::Unsent,
+                None => match connect(self.nodes[node]).await {
+                    Ok(sender) => sender,
+                    Err(_) => return Reply::Unsent,
                 },
             };
             match sender.try_send_request(request).await {
@@ -166,14 +167,15 @@
         }
         None
     }
+}
 
-    async fn connect(&self, node: usize) -> Option<Sender> {
-        let stream = TcpStream::connect(self.nodes[node]).await.ok()?;
-        let _ = stream.set_nodelay(true);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-        spawn_local(connection);
-        Some(sender)
-    }
+/// A new connection, driven by a task of its own.
+pub(crate) async fn connect(to: SocketAddr) -> Result<Sender, Box<dyn Error>> {
+    let stream = TcpStream::connect(to).await?;
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    spawn_local(connection);
+    Ok(sender)
 }
 
 fn request(order: Order<'_>, tries: usize, left: Duration) -> Request<Full<Bytes>> {
--- a/crates/standin/src/rig/load.rs
+++ b/crates/standin/src/rig/load.rs
@@ -1,16 +1,14 @@
 //! Clients of a rig's nodes: at each node so many requests a second, whatever becomes of them.
 
 use super::Desks;
+use crate::client::{connect, Sender};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::Request;
-use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::task::{spawn_local, JoinSet};
 use tokio::time::{sleep_until, timeout, Instant};
 
@@ -64,7 +62,7 @@
 struct IdleConnection {
     to: SocketAddr,
     since: Instant,
-    sender: SendRequest<Full<Bytes>>,
+    sender: Sender,
 }
 
 type Idle = RefCell<Vec<IdleConnection>>;
@@ -196,14 +194,6 @@
     Some(idle.swap_remove(ready))
 }
 
-async fn connect(front: SocketAddr) -> Result<SendRequest<Full<Bytes>>, Box<dyn std::error::Error>> {
-    let stream = TcpStream::connect(front).await?;
-    let _ = stream.set_nodelay(true);
-    let (sender, connection) = handshake(TokioIo::new(stream)).await?;
-    spawn_local(connection);
-    Ok(sender)
-}
-
 fn request(id: &str, order: &Order) -> Request<Full<Bytes>> {
     let safe = order.class == "safe";
     let mut request = Request::builder()
