--- a/review/common/stand.py
+++ b/review/common/stand.py
@@ -275,7 +275,9 @@
 
 def main(folder, play):
     """Runs a case: `play(case)` returns a list of violations. Exit code 1: broken, 0: held, 2: could not run."""
-    case = None
+    case, code = None, 2
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: sys.exit(2))
     try:
         case = Case(folder)
         violations = asyncio.run(asyncio.wait_for(play(case), 115))
@@ -288,7 +290,6 @@
         print(f"cannot run: {error!r}")
         if case:
             case.record(f"cannot run: {error!r}")
-        code = 2
     finally:
         if case:
             case.close()
