--- a/review/common/stand.py
+++ b/review/common/stand.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -24,15 +25,14 @@
 
 
 def free_ports(count):
-    """Ports that are free for TCP and UDP on 127.0.0.1."""
+    """Ports that are free for TCP and UDP on 127.0.0.1, below those that the system gives to outgoing connections."""
     held, ports = [], []
     while len(ports) < count:
-        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        tcp.bind(("127.0.0.1", 0))
-        port = tcp.getsockname()[1]
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        port = random.randrange(20000, 32000)
+        tcp, udp = (socket.socket(socket.AF_INET, kind) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM))
         held += [tcp, udp]
         try:
+            tcp.bind(("127.0.0.1", port))
             udp.bind(("127.0.0.1", port))
         except OSError:
             continue
@@ -42,6 +42,14 @@
     return ports
 
 
+def say(text):
+    """Prints a line; whoever read the output may be gone."""
+    try:
+        print(text, flush=True)
+    except OSError:
+        pass
+
+
 def profile(name, effect, deadline_ms=879, window_ms=2000, scope="all"):
     return {"deadline_ns": deadline_ms * 1_000_000, "effect": effect, "importance": 8.0, "key_scope": scope,
             "late_worth": 0.0, "name": name, "promise_ns": 352_000_000,
@@ -159,6 +167,12 @@
     return lines[0], headers
 
 
+def load_report(held, cores=4):
+    """A server's answer to a probe: what it holds, what of it waits, and how busy its cores are."""
+    load = json.dumps({"outstanding": held, "backlog": max(0, held - cores), "utilization": min(1.0, held / cores)})
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(load), load.encode())
+
+
 class Discovery:
     """The agent of the PROTOCOL page: the whole list, and a watch with an empty line every 2 s."""
 
@@ -283,11 +297,11 @@
         violations = asyncio.run(asyncio.wait_for(play(case), 115))
         for violation in violations[:20]:
             case.record(f"BROKEN: {violation}")
-            print(f"broken: {violation}")
+            say(f"broken: {violation}")
         case.record(f"result: {'broken, ' + str(len(violations)) if violations else 'held'}")
         code = 1 if violations else 0
     except Exception as error:  # Whatever went wrong in the case itself says nothing about the rule.
-        print(f"cannot run: {error!r}")
+        say(f"cannot run: {error!r}")
         if case:
             case.record(f"cannot run: {error!r}")
     finally:
