--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -141,6 +141,7 @@
             class,
             deadline,
             answer_deadline,
+            body_complete,
             request: Some(Rc::new(request)),
             attempts: Vec::new(),
         };
@@ -210,19 +211,32 @@
         if !sendable || self.rules.denial_reason(now, entry, Some(number), server).is_some() {
             return SendPermit::Denied;
         }
-        entry.attempts[number].send_permitted = true;
-        SendPermit::Granted(a.deadline - now)
-    }
-
-    /// Records that the last byte of an attempt was sent whose request was incomplete at its start. The
-    /// server's latency counts from here.
-    pub fn request_written(&mut self, now: Time, attempt: AttemptId) {
+        let complete_by = self.rules.repeat_window_end(entry, Some(number));
+        let permitted = &mut entry.attempts[number];
+        permitted.send_permitted = true;
+        permitted.may_run_from = entry.body_complete.then_some(now);
+        SendPermit::Granted { left: a.deadline - now, complete_by }
+    }
+
+    /// Decides whether the last byte of an attempt may be sent whose body was incomplete when the request was
+    /// submitted. Has to be called immediately before that byte, since a server runs a request once it has
+    /// all of it: the rules are checked again, and the server's latency counts from here. If denied, the
+    /// attempt cannot have run.
+    ///
+    /// `transfer` is the time that the server took to accept the rest of the request.
+    pub fn permit_last_byte(&mut self, now: Time, attempt: AttemptId, transfer: Duration) -> bool {
         let AttemptId { request, number } = attempt;
-        let attempts = self.requests.get_mut(&request).map(|entry| &mut entry.attempts);
-        if let Some(a) = attempts.and_then(|all| all.get_mut(number as usize)).filter(|a| a.in_flight) {
-            a.fully_sent = now;
-            self.handle_event(now, Event::RequestWritten { request, attempt: number });
+        let index = number as usize;
+        let Some(entry) = self.requests.get_mut(&request).filter(|e| e.is_open()) else { return false };
+        let Some(a) = entry.attempts.get(index).copied() else { return false };
+        let sendable = a.in_flight && a.send_permitted && a.may_run_from.is_none() && now < a.deadline;
+        if !sendable || self.rules.repeat_denial_reason(now, entry, Some(index), a.location).is_some() {
+            return false;
         }
+        entry.attempts[index].fully_sent = now;
+        entry.attempts[index].may_run_from = Some(now);
+        self.handle_event(now, Event::RequestWritten { request, attempt: number, transfer });
+        true
     }
 
     /// Records the end of an attempt. Has no effect on attempts that were cancelled or timed out before.
@@ -292,9 +306,9 @@
                     }
                 }
                 Scheduled::AttemptTimeout(attempt) => {
-                    let send_permitted = self.attempt(attempt).is_some_and(|a| a.send_permitted);
-                    // An attempt without a permit was never sent, so it cannot have run.
-                    let outcome = if send_permitted { Outcome::TimedOut } else { Outcome::Unreachable };
+                    let may_have_run = self.attempt(attempt).is_some_and(Attempt::may_have_run);
+                    // No server runs a request before it has the last byte.
+                    let outcome = if may_have_run { Outcome::TimedOut } else { Outcome::Unreachable };
                     if let Some(event) = self.finish_attempt(now, attempt, outcome, None) {
                         self.commands.push_back(Command::Cancel(attempt));
                         self.handle_event(now, event);
@@ -341,7 +355,7 @@
         let closed = !entry.is_open();
         let a = entry.attempts.get_mut(number as usize).filter(|a| a.in_flight)?;
         a.in_flight = false;
-        a.never_ran = outcome.never_ran();
+        a.never_ran = outcome.never_ran() || !a.may_have_run();
         let (server, latency) = (a.server, now - a.fully_sent);
         self.schedule.remove(&(a.deadline, Scheduled::AttemptTimeout(attempt)));
         if self.records_attempt_ends {
@@ -431,14 +445,14 @@
         let location = listed.map(|l| l.location).unwrap_or_default();
         let deadline = limit.map_or(entry.deadline, |limit| entry.deadline.min(now + limit));
         let number = entry.attempts.len();
-        let (send_permitted, in_flight, never_ran) = (false, true, false);
+        let (send_permitted, may_run_from, in_flight, never_ran) = (false, None, true, false);
         entry.attempts.push(Attempt {
             server,
             location,
-            started: now,
             fully_sent: now,
             deadline,
             send_permitted,
+            may_run_from,
             in_flight,
             never_ran,
         });
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -25,8 +25,9 @@
 //! 2. An attempt is sent only after [`Engine::permit_send`] has granted it, once, and only if the request is
 //!    open, the server accepts new requests and no earlier attempt forbids it. For unsafe requests, any
 //!    attempt that may have run forbids it; for keyed ones, one that may have run outside the server's key
-//!    scope, or longer ago than the replay window. A refusal is turned into a failure where a retry might not
-//!    be harmless.
+//!    scope, or longer ago than the replay window. A server runs a request once it has the last byte: where
+//!    that is sent much later than the first, [`Engine::permit_last_byte`] checks the same once more. A
+//!    refusal is turned into a failure where a retry might not be harmless.
 //! 3. No attempt is permitted to a server that drains or is gone.
 
 #![forbid(unsafe_code)]
@@ -69,8 +70,8 @@
     pub tenant: TenantId,
     /// Expected work, if the client sent a hint.
     pub work: Option<Duration>,
-    /// Whether the body has been received completely. If not, [`Engine::request_written`] reports when a
-    /// server has all of it and [`Engine::set_deadlines`] sets the final deadlines.
+    /// Whether the body has been received completely. If not, each attempt calls [`Engine::permit_last_byte`]
+    /// before its last byte, and [`Engine::set_deadlines`] sets the final deadlines.
     pub body_complete: bool,
     /// Deadline of all attempts.
     pub deadline: Time,
@@ -173,8 +174,14 @@
 /// The result of [`Engine::permit_send`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendPermit {
-    /// Send now. The duration is the time left to the attempt.
-    Granted(Duration),
+    /// Send now.
+    Granted {
+        /// Time left to the attempt.
+        left: Duration,
+        /// When servers may have forgotten the request's key, if an earlier attempt may have run. The last
+        /// byte has to reach the server before; an attempt that can't is ended with [`Outcome::NotSent`].
+        complete_by: Option<Time>,
+    },
     /// Do not send; end the attempt with [`Outcome::NotSent`].
     Denied,
 }
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -9,6 +9,9 @@
     pub(crate) class: ClassId,
     pub(crate) deadline: Time,
     pub(crate) answer_deadline: Time,
+    /// Whether the body had been received completely at submission. If not, the last byte of each attempt
+    /// needs a permit of its own.
+    pub(crate) body_complete: bool,
     /// None once the request is closed and cannot be sent again.
     pub(crate) request: Option<Rc<R>>,
     pub(crate) attempts: Vec<Attempt>,
@@ -20,6 +23,11 @@
         self.request.is_some()
     }
 
+    /// Returns all attempts except `current`.
+    fn other_attempts(&self, current: Option<usize>) -> impl Iterator<Item = &Attempt> {
+        self.attempts.iter().enumerate().filter(move |(n, _)| Some(*n) != current).map(|(_, a)| a)
+    }
+
     /// Returns whether the request is closed and has no attempt in flight.
     pub(crate) fn is_finished(&self) -> bool {
         !self.is_open() && self.attempts.iter().all(|a| !a.in_flight)
@@ -31,12 +39,13 @@
 pub(crate) struct Attempt {
     pub(crate) server: ServerId,
     pub(crate) location: KeyLocation,
-    pub(crate) started: Time,
-    /// When the server had the complete request: the start, until the write of a longer body is reported.
+    /// When the server had the complete request: the start, until the last byte of a longer body is permitted.
     pub(crate) fully_sent: Time,
     pub(crate) deadline: Time,
-    /// Sending was permitted, so the server may run it.
+    /// Sending was permitted: the server may have a part of it.
     pub(crate) send_permitted: bool,
+    /// When its last byte was permitted. The server cannot have run it earlier, nor at all without it.
+    pub(crate) may_run_from: Option<Time>,
     /// Its end has not been reported.
     pub(crate) in_flight: bool,
     /// Its outcome proves that it never ran and never will.
@@ -46,7 +55,12 @@
 impl Attempt {
     /// Returns whether the server may have run it, may be running it or may still do so.
     pub(crate) fn may_have_run(&self) -> bool {
-        self.send_permitted && !self.never_ran
+        self.possible_run().is_some()
+    }
+
+    /// Returns the earliest time at which the server may have run it.
+    fn possible_run(&self) -> Option<Time> {
+        self.may_run_from.filter(|_| !self.never_ran)
     }
 }
 
@@ -101,27 +115,37 @@
         if !entry.is_open() {
             return Some("the request is closed");
         }
-        let others =
-            || entry.attempts.iter().enumerate().filter(|(n, _)| Some(*n) != current).map(|(_, a)| a);
+        let others = || entry.other_attempts(current);
         if others().filter(|a| a.in_flight || a.send_permitted).count() >= self.max_attempts {
             return Some("the request has used all its attempts");
         }
         if !self.second_copies && others().any(|a| a.in_flight) {
             return Some("two copies may not be in flight at once");
         }
+        self.repeat_denial_reason(now, entry, current, server.location)
+    }
+
+    /// Returns why a server at `location` may not run a request now, given what its other attempts may have
+    /// done.
+    pub(crate) fn repeat_denial_reason<R>(
+        &self,
+        now: Time,
+        entry: &RequestState<R>,
+        current: Option<usize>,
+        location: KeyLocation,
+    ) -> Option<&'static str> {
+        let mut possibly_run = entry.other_attempts(current).filter(|a| a.may_have_run());
         match self.effect(entry.class) {
             Effect::Safe => None,
-            Effect::Unsafe => others().any(Attempt::may_have_run).then_some("an attempt may have run"),
-            Effect::Keyed { scope, window } => {
-                let mut possibly_run = others().filter(|a| a.may_have_run());
-                let first_start = possibly_run.clone().map(|a| a.started).min()?;
-                if now >= first_start + window {
+            Effect::Unsafe => possibly_run.next().map(|_| "an attempt may have run"),
+            Effect::Keyed { scope, .. } => {
+                if self.repeat_window_end(entry, current).is_some_and(|end| now >= end) {
                     return Some("the replay window has passed");
                 }
                 let outside_scope = |a: &Attempt| match scope {
                     KeyScope::All => false,
-                    KeyScope::Zone => a.location.zone != server.location.zone,
-                    KeyScope::Cell => a.location.cell != server.location.cell,
+                    KeyScope::Zone => a.location.zone != location.zone,
+                    KeyScope::Cell => a.location.cell != location.cell,
                 };
                 possibly_run
                     .any(outside_scope)
@@ -130,6 +154,17 @@
         }
     }
 
+    /// Returns when servers may start to forget the key of a request, because an attempt other than `current`
+    /// may have run. None if no attempt may have run, or if the class has no keys.
+    pub(crate) fn repeat_window_end<R>(
+        &self,
+        entry: &RequestState<R>,
+        current: Option<usize>,
+    ) -> Option<Time> {
+        let Effect::Keyed { window, .. } = self.effect(entry.class) else { return None };
+        entry.other_attempts(current).filter_map(Attempt::possible_run).min().map(|first| first + window)
+    }
+
     /// Returns whether the request may be answered with a refusal, which promises that a retry is harmless.
     pub(crate) fn can_refuse<R>(&self, entry: &RequestState<R>) -> bool {
         match self.effect(entry.class) {
--- a/crates/engine/tests/rules.rs
+++ b/crates/engine/tests/rules.rs
@@ -115,6 +115,8 @@
     attempt: AttemptId,
     server: ServerId,
     written: bool,
+    /// Its last byte was written.
+    complete: bool,
 }
 
 /// What happened to a request.
@@ -124,12 +126,29 @@
     answer_deadline: Time,
     disconnected: bool,
     answers: Vec<(Time, Answer<u32>)>,
-    /// Each write: attempt, server, time, and whether a reported outcome proved that it never ran.
+    body_complete: bool,
+    /// Each write: attempt, server, time of the last byte, and whether it surely never ran: the last byte was not
+    /// written, or a reported outcome proved it.
     writes: Vec<(AttemptId, ServerId, Time, bool)>,
     /// Set once the request is completed: whether it may have run.
     completed: Option<bool>,
 }
 
+impl RequestHistory {
+    /// Checks that a server may have the whole request now.
+    fn check_repeat(&self, server: ServerId, now: Time) {
+        let may_have_run: Vec<_> = self.writes.iter().filter(|w| !w.3).collect();
+        match self.class {
+            KEYED => {
+                assert!(may_have_run.iter().all(|w| w.1 .0 / 2 == server.0 / 2), "repeated outside its cell");
+                assert!(may_have_run.iter().all(|w| now < w.2 + WINDOW), "repeated after the replay window");
+            }
+            UNSAFE => assert!(may_have_run.is_empty(), "an unsafe request may run twice"),
+            _ => {}
+        }
+    }
+}
+
 /// An engine with simulated clients and servers.
 struct Harness<D> {
     engine: Engine<D, u32, u32>,
@@ -160,9 +179,18 @@
     }
 
     fn arrive(&mut self, class: u8, external_id: &[u8]) -> Result<RequestId, DuplicateRequest> {
+        self.arrive_with(class, external_id, true)
+    }
+
+    fn arrive_with(
+        &mut self,
+        class: u8,
+        external_id: &[u8],
+        body_complete: bool,
+    ) -> Result<RequestId, DuplicateRequest> {
         let (deadline, answer_deadline) = (self.now + 100 * MS, self.now + 105 * MS);
         let incoming = Incoming {
-            body_complete: true,
+            body_complete,
             class: ClassId(class),
             tenant: TenantId(0),
             work: None,
@@ -172,7 +200,8 @@
             request: 7,
         };
         let id = self.engine.submit(self.now, incoming)?;
-        self.history.insert(id, RequestHistory { class, answer_deadline, ..RequestHistory::default() });
+        let history = RequestHistory { class, answer_deadline, body_complete, ..RequestHistory::default() };
+        self.history.insert(id, history);
         self.drain();
         Ok(id)
     }
@@ -183,7 +212,7 @@
             match command {
                 Command::Start { attempt, server, request } => {
                     assert_eq!(*request, 7);
-                    self.pending.push(PendingAttempt { attempt, server, written: false });
+                    self.pending.push(PendingAttempt { attempt, server, written: false, complete: false });
                 }
                 Command::Cancel(attempt) => self.pending.retain(|h| h.attempt != attempt),
                 Command::Answer { request, answer } => {
@@ -240,25 +269,39 @@
         assert!(history.writes.iter().all(|w| w.0 != attempt), "written twice");
         assert!(history.writes.len() < 3, "more attempts than the site allows");
         assert!(self.second_copies || !others_out, "two copies in flight");
-        let may_have_run: Vec<_> = history.writes.iter().filter(|w| !w.3).collect();
-        match history.class {
-            KEYED => {
-                assert!(may_have_run.iter().all(|w| w.1 .0 / 2 == server.0 / 2), "repeated outside its cell");
-                assert!(may_have_run.iter().all(|w| now < w.2 + WINDOW), "repeated after the replay window");
-            }
-            UNSAFE => assert!(may_have_run.is_empty(), "an unsafe request may run twice"),
-            _ => {}
-        }
-        history.writes.push((attempt, server, now, false));
+        history.check_repeat(server, now);
+        history.writes.push((attempt, server, now, !history.body_complete));
         self.pending[at].written = true;
+        self.pending[at].complete = history.body_complete;
         permit
     }
 
+    /// Asks for permission to send the last byte of a pending attempt, and records it.
+    fn write_last_byte(&mut self, at: usize) -> bool {
+        let PendingAttempt { attempt, server, .. } = self.pending[at];
+        if !self.engine.permit_last_byte(self.now, attempt, Duration::ZERO) {
+            self.end(at, Outcome::NotSent);
+            return false;
+        }
+        let history = self.history.get_mut(&attempt.request).expect("a submitted request");
+        assert!(
+            history.answers.is_empty() && !history.disconnected,
+            "completed after the request was closed"
+        );
+        history.check_repeat(server, self.now);
+        let write = history.writes.iter_mut().find(|w| w.0 == attempt).expect("it has begun");
+        assert!(write.3, "completed twice");
+        (write.2, write.3) = (self.now, false);
+        self.pending[at].complete = true;
+        self.drain();
+        true
+    }
+
     fn end(&mut self, at: usize, outcome: Outcome) {
         let pending = self.pending.remove(at);
         let history = self.history.get_mut(&pending.attempt.request).expect("a submitted request");
         for write in history.writes.iter_mut().filter(|w| w.0 == pending.attempt) {
-            write.3 = outcome.never_ran();
+            write.3 = outcome.never_ran() || !pending.complete;
         }
         let answer = (outcome == Outcome::Served).then_some(pending.server.0);
         self.engine.attempt_ended(self.now, pending.attempt, AttemptResult { outcome, report: None, answer });
@@ -281,7 +324,8 @@
         match below(rng, 12) {
             0..=2 => {
                 // With few external ids, some requests arrive while one with the same id is open.
-                let _ = self.arrive((pick % 3) as u8, &[(pick / 3 % 40) as u8]);
+                let body_complete = below(rng, 3) > 0;
+                let _ = self.arrive_with((pick % 3) as u8, &[(pick / 3 % 40) as u8], body_complete);
             }
             3..=5 if !self.pending.is_empty() => {
                 let at = pick % self.pending.len();
@@ -290,6 +334,10 @@
                     (false, _) => {
                         self.write(at);
                     }
+                    (true, 0) if !self.pending[at].complete => self.end(at, Outcome::Unreachable),
+                    (true, _) if !self.pending[at].complete => {
+                        self.write_last_byte(at);
+                    }
                     (true, 0) => self.end(at, Outcome::Served),
                     (true, 1) => self.end(at, Outcome::Rejected),
                     (true, 2) => self.end(at, Outcome::Broken),
@@ -388,7 +436,7 @@
     assert_eq!(harness.write(0), SendPermit::Denied);
     // It cannot have run, so it is sent on although it is unsafe.
     assert_eq!((harness.pending.len(), harness.pending[0].server), (1, ServerId(1)));
-    assert!(matches!(harness.write(0), SendPermit::Granted(_)));
+    assert!(matches!(harness.write(0), SendPermit::Granted { .. }));
     harness.end(0, Outcome::Served);
     assert_eq!(answered(&harness, id), Some(Answer::Served(1)));
 }
@@ -413,7 +461,7 @@
         // The next server is in the same cell; connecting to it takes time.
         assert_eq!(harness.pending[0].server, ServerId(1));
         harness.advance(wait);
-        assert_eq!(matches!(harness.write(0), SendPermit::Granted(_)), outcome, "after {wait:?}");
+        assert_eq!(matches!(harness.write(0), SendPermit::Granted { .. }), outcome, "after {wait:?}");
         if outcome {
             harness.end(0, Outcome::Broken);
             assert!(harness.pending.is_empty(), "server 2 is in another cell");
@@ -421,12 +469,45 @@
     }
 }
 
+/// Guards against a repeat that begins within the replay window and is complete after it, when the server runs it.
+#[test]
+fn the_last_byte_of_a_keyed_repeat_is_sent_in_its_window() {
+    for (wait, outcome) in [(WINDOW - MS, true), (WINDOW, false)] {
+        let mut harness = Harness::new(NextServerPolicy, false);
+        let id = harness.arrive_with(KEYED, b"a", false).expect("accepted");
+        assert_eq!(harness.write(0), SendPermit::Granted { left: 100 * MS, complete_by: None });
+        harness.advance(30 * MS); // The window counts from the last byte.
+        assert!(harness.write_last_byte(0));
+        let window_end = harness.now + WINDOW;
+        harness.end(0, Outcome::Broken);
+        let permit = harness.write(0);
+        assert_eq!(permit, SendPermit::Granted { left: 70 * MS, complete_by: Some(window_end) });
+        harness.advance(wait);
+        assert_eq!(harness.write_last_byte(0), outcome, "after {wait:?}");
+        if !outcome {
+            assert_eq!(answered(&harness, id), Some(Answer::Failed), "the first attempt may have run");
+        }
+    }
+}
+
+/// Guards against counting an attempt as possibly run that was broken off without its last byte.
+#[test]
+fn an_attempt_that_times_out_before_its_last_byte_did_not_run() {
+    for class in [KEYED, UNSAFE] {
+        let mut harness = Harness::new(NextServerPolicy, false);
+        let id = harness.arrive_with(class, b"a", false).expect("accepted");
+        assert!(matches!(harness.write(0), SendPermit::Granted { .. }));
+        harness.advance(100 * MS);
+        assert_eq!(answered(&harness, id), Some(Answer::Refused(None)));
+    }
+}
+
 #[test]
 fn an_attempt_is_permitted_once() {
     let mut harness = Harness::new(NextServerPolicy, false);
     harness.arrive(SAFE, b"a").expect("accepted");
     let attempt = harness.pending[0].attempt;
-    assert!(matches!(harness.engine.permit_send(harness.now, attempt), SendPermit::Granted(_)));
+    assert!(matches!(harness.engine.permit_send(harness.now, attempt), SendPermit::Granted { .. }));
     assert_eq!(harness.engine.permit_send(harness.now, attempt), SendPermit::Denied);
 }
 
@@ -538,7 +619,7 @@
     let mut harness = Harness::new(RetryPolicy, false);
     let id = harness.arrive(SAFE, b"a").expect("accepted");
     for _ in 0..3 {
-        assert!(matches!(harness.write(0), SendPermit::Granted(_)));
+        assert!(matches!(harness.write(0), SendPermit::Granted { .. }));
         harness.end(0, Outcome::Broken);
     }
     assert!(harness.pending.is_empty(), "a fourth attempt");
@@ -598,7 +679,7 @@
                 }
                 1 if !out.is_empty() => {
                     let attempt: AttemptId = out.remove((pick / 4) as usize % out.len());
-                    let go = matches!(engine.permit_send(now, attempt), SendPermit::Granted(_));
+                    let go = matches!(engine.permit_send(now, attempt), SendPermit::Granted { .. });
                     let outcome = match (go, pick / 64 % 8) {
                         (false, _) => Outcome::NotSent,
                         (true, 0) => Outcome::Rejected,
@@ -688,11 +769,11 @@
     let request = engine.submit(start, incoming).expect("accepted");
     let attempt = AttemptId { request, number: 0 };
     assert!(matches!(engine.next_command(), Some(Command::Start { .. })));
-    assert!(matches!(engine.permit_send(start, attempt), SendPermit::Granted(_)));
+    assert!(matches!(engine.permit_send(start, attempt), SendPermit::Granted { .. }));
     let whole = start + 5000 * MS;
     engine.wake(whole);
     assert!(engine.next_command().is_none(), "the body is still incomplete");
-    engine.request_written(whole, attempt);
+    assert!(engine.permit_last_byte(whole, attempt, Duration::ZERO));
     engine.set_deadlines(request, whole + 100 * MS, whole + 105 * MS);
     assert_eq!(engine.next_wake(), Some(whole + 100 * MS));
     engine.wake(whole + 100 * MS);
--- a/crates/host/src/handles.rs
+++ b/crates/host/src/handles.rs
@@ -4,6 +4,7 @@
 use birchswitch_engine::{Answer, AttemptId, AttemptResult, ProbeId, SendPermit};
 use finchvale::{LoadReport, Outcome, RequestId, ServerId};
 use std::rc::Weak;
+use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -55,6 +56,16 @@
     }
 }
 
+/// Permission to send an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct SendGrant {
+    /// Time left to the attempt.
+    pub left: Duration,
+    /// When the last byte has to be with the server, if servers may have forgotten the request's key from
+    /// then on.
+    pub complete_by: Option<Instant>,
+}
+
 /// Reports an attempt to the engine. An attempt whose handle is dropped without [`AttemptHandle::finish`]
 /// times out.
 pub struct AttemptHandle<U: Upstream> {
@@ -64,22 +75,20 @@
 }
 
 impl<U: Upstream> AttemptHandle<U> {
-    /// Decides whether the attempt may be sent, and how much time it has. To be called immediately before the
-    /// first byte.
-    pub fn permit_send(&self) -> SendPermit {
-        let Some(host) = self.host.upgrade() else { return SendPermit::Denied };
+    /// Decides whether the attempt may be sent. To be called immediately before the first byte.
+    pub fn permit_send(&self) -> Option<SendGrant> {
+        let host = self.host.upgrade()?;
         let request = self.attempt.request;
         let admission = host.permits.borrow().get(&request).map_or(Ok(()), |permit| permit.check());
         if let Err(rejection) = admission {
             let wait = host.limit_retry_after(rejection);
             host.with_engine(|engine, now| engine.reject(now, request, wait));
-            return SendPermit::Denied;
+            return None;
         }
         let permit = host.with_engine(|engine, now| engine.permit_send(now, self.attempt));
-        if matches!(permit, SendPermit::Granted(_)) {
-            host.permits.borrow().get(&request).iter().for_each(|permit| permit.attempt_sent());
-        }
-        permit
+        let SendPermit::Granted { left, complete_by } = permit else { return None };
+        host.permits.borrow().get(&request).iter().for_each(|permit| permit.attempt_sent());
+        Some(SendGrant { left, complete_by: complete_by.map(|at| host.clock.instant(at)) })
     }
 
     /// Counts the attempt as sent. To be called when its last byte has been written.
@@ -87,15 +96,18 @@
         self.host.upgrade().iter().for_each(|host| host.metrics.forwards.inc());
     }
 
-    /// Returns the equivalent of [`AttemptHandle::written`] for a request whose body was incomplete when it
-    /// was submitted. To be called when the last byte has been written.
-    pub fn written_callback(&self) -> impl FnOnce() + 'static {
+    /// Returns a function that decides whether the last byte may be sent of a request whose body was
+    /// incomplete when it was submitted, given the time that the server took to accept the rest. To be called
+    /// immediately before that byte.
+    pub fn last_byte_permit(&self) -> impl FnOnce(Duration) -> bool + 'static {
         let (host, attempt) = (self.host.clone(), self.attempt);
-        move || {
-            if let Some(host) = host.upgrade() {
+        move |transfer| {
+            let Some(host) = host.upgrade() else { return false };
+            let permitted = host.with_engine(|engine, now| engine.permit_last_byte(now, attempt, transfer));
+            if permitted {
                 host.metrics.forwards.inc();
-                host.with_engine(|engine, now| engine.request_written(now, attempt));
             }
+            permitted
         }
     }
 
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -9,14 +9,16 @@
 //!
 //! Modules: `lists` applies lists of servers, `requests` submits clients' requests, `commands` runs the
 //! engine's commands, `handles` holds what protocols use to report back, `pool` keeps connections to servers;
+//! `delivery` holds a request's last byte back until it would reach its server in time;
 //! `admission`, `health` and `observations` connect the fleet-wide parts.
 
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 #![deny(missing_docs)]
 
 mod admission;
 mod clock;
 mod commands;
+pub mod delivery;
 mod handles;
 mod health;
 mod lists;
@@ -24,6 +26,7 @@
 pub mod pool;
 mod requests;
 pub mod socket;
+mod tcp_info;
 
 pub use admission::{key_hash, Admission, AdmissionPermit, AdmissionRequest, Rejection};
 use birchswitch_engine::{AttemptId, Engine, ProbeId};
@@ -31,7 +34,7 @@
 use birchswitch_membership::{Directory, Target};
 use clock::Clock;
 use finchvale::{Balancer, RequestId, ServerId, Settings, SettingsError, Time};
-pub use handles::{AttemptHandle, PendingRequest, ProbeHandle};
+pub use handles::{AttemptHandle, PendingRequest, ProbeHandle, SendGrant};
 use health::SilenceTracker;
 use observations::ServerObserver;
 pub use observations::{AttemptRecord, NamedServerAdjustment};
--- a/crates/http/src/body/mod.rs
+++ b/crates/http/src/body/mod.rs
@@ -27,7 +27,7 @@
 use std::time::Duration;
 pub use streamed::StreamedBody;
 use tokio::time::Instant;
-pub use upload::{Upload, UploadReader};
+pub use upload::{HeldUpload, Upload, UploadEnd, UploadReader};
 
 /// Bodies up to this size are read completely before they are forwarded.
 pub const WHOLE_BODY_LIMIT: usize = 64 << 10;
@@ -46,6 +46,9 @@
     /// The body exceeds [`MAX_BODY`].
     #[error("body exceeds {MAX_BODY} bytes")]
     TooLong,
+    /// The rules do not permit to send its last byte.
+    #[error("the last byte may not be sent")]
+    NotPermitted,
     /// A later attempt has taken over reading it.
     #[error("body is being read by a later attempt")]
     Superseded,
--- a/crates/http/src/body/upload.rs
+++ b/crates/http/src/body/upload.rs
@@ -1,10 +1,13 @@
 //! A request body that is too large to be read completely first: it is received once, and retained for further attempts
 //! while the budget allows.
 
+mod reader;
+
 use super::{progress_deadline, BodyError, BufferBudget, MAX_BODY, MIN_RATE_GRACE, WHOLE_BODY_LIMIT};
 use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
-use std::cell::{Cell, RefCell};
+use hyper::body::{Body, Incoming};
+pub use reader::{HeldUpload, LastBytePermit, UploadEnd, UploadReader};
+use std::cell::RefCell;
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -78,19 +81,18 @@
     }
 
     /// Returns a reader of the whole body for one more attempt. `None`: the body can't be read from the start any more.
-    pub fn new_reader(self: &Rc<Self>) -> Option<UploadReader> {
+    /// `permit` is called before the last byte; `held` holds it back until it would reach the server in time.
+    pub fn new_reader(
+        self: &Rc<Self>,
+        permit: LastBytePermit,
+        held: Option<HeldUpload>,
+    ) -> Option<UploadReader> {
         let mut state = self.state.borrow_mut();
         if state.discarded || state.ended == Some(false) {
             return None;
         }
         state.current_reader += 1;
-        Some(UploadReader {
-            upload: self.clone(),
-            id: state.current_reader,
-            next_chunk: 0,
-            finished: Rc::default(),
-            on_written: None,
-        })
+        Some(UploadReader::new(self.clone(), state.current_reader, permit, held))
     }
 
     /// Waits until the last byte has been received. Never returns if it can't be.
@@ -201,59 +203,3 @@
         self.state.get_mut().discard_retained(&self.budget);
     }
 }
-
-/// An upload as it is sent by one attempt.
-pub struct UploadReader {
-    upload: Rc<Upload>,
-    id: u32,
-    /// Number of retained chunks that were sent.
-    next_chunk: usize,
-    /// Whether the last byte was handed to hyper.
-    pub finished: Rc<Cell<bool>>,
-    /// Called when that happens.
-    pub on_written: Option<Box<dyn FnOnce()>>,
-}
-
-impl UploadReader {
-    fn mark_finished(&mut self) {
-        if !self.finished.replace(true) {
-            self.on_written.take().into_iter().for_each(|on_written| on_written());
-        }
-    }
-}
-
-impl Body for UploadReader {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let me = self.get_mut();
-        let retained = {
-            let state = me.upload.state.borrow();
-            if state.current_reader != me.id {
-                return Poll::Ready(Some(Err(BodyError::Superseded)));
-            }
-            state.retained.get(me.next_chunk).cloned()
-        };
-        let next = match retained {
-            Some(data) => Some(Ok(data)),
-            None => ready!(me.upload.poll_source(cx, me.id)),
-        };
-        // A chunk that was just received may have been retained: this attempt does not send it again.
-        me.next_chunk += 1;
-        if next.is_none() || me.is_end_stream() {
-            me.mark_finished();
-        }
-        Poll::Ready(next.map(|next| next.map(Frame::data)))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        let state = self.upload.state.borrow();
-        state.ended == Some(true) && (state.discarded || self.next_chunk >= state.retained.len())
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        // hyper asks before anything is sent, so this is the length of the whole body.
-        self.upload.state.borrow().length.map_or_else(SizeHint::default, SizeHint::with_exact)
-    }
-}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,6 +7,7 @@
 mod body;
 mod front;
 mod gate;
+mod send_monitor;
 mod upstream;
 
 pub use body::BufferBudget;
--- /dev/null
+++ b/crates/http/src/send_monitor.rs
@@ -0,0 +1,81 @@
+//! How far a request has been written to a server's connection.
+
+use birchswitch_host::delivery;
+use birchswitch_host::socket::is_open_and_idle;
+use socket2::SockRef;
+use std::cell::Cell;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// How much of the current request has been written to the socket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    /// Nothing yet.
+    NotStarted,
+    /// Some bytes, and hyper has more.
+    Partial,
+    /// Everything that hyper had to write.
+    Complete,
+}
+
+/// Watches a connection's socket and what is written to it.
+#[derive(Clone)]
+pub struct SendMonitor {
+    /// Weak, so that the socket closes when its driver ends, even while the connection is idle.
+    socket: Weak<TcpStream>,
+    progress: Rc<Cell<Progress>>,
+}
+
+impl SendMonitor {
+    /// Watches a connection to which nothing has been written.
+    pub fn new(socket: &Rc<TcpStream>) -> Self {
+        SendMonitor { socket: Rc::downgrade(socket), progress: Rc::new(Cell::new(Progress::NotStarted)) }
+    }
+
+    /// The socket, while the connection is open.
+    pub fn socket(&self) -> Option<Rc<TcpStream>> {
+        self.socket.upgrade()
+    }
+
+    /// Starts with a new request.
+    pub fn reset(&self) {
+        self.progress.set(Progress::NotStarted);
+    }
+
+    /// Records that bytes were written; `all`: hyper has nothing left to write.
+    pub fn written(&self, all: bool) {
+        match (all, self.progress.get()) {
+            (false, _) => self.progress.set(Progress::Partial),
+            (true, Progress::Partial) => self.progress.set(Progress::Complete),
+            (true, Progress::NotStarted | Progress::Complete) => {}
+        }
+    }
+
+    /// Whether everything that hyper had of the request was written.
+    pub fn is_written(&self) -> bool {
+        self.progress.get() == Progress::Complete
+    }
+
+    /// Whether the connection is open and nothing was received over it.
+    pub fn is_open_and_idle(&self) -> bool {
+        self.socket().is_some_and(|socket| is_open_and_idle(&socket))
+    }
+
+    /// Waits until `complete_by`, and returns then if the server's machine has not received everything that was
+    /// written.
+    pub async fn undelivered(&self, complete_by: Instant) {
+        match self.socket() {
+            Some(socket) => delivery::undelivered(&socket, complete_by).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Makes the close of the connection discard what the server's machine has not received.
+    pub fn discard_unsent(&self) {
+        if let Some(socket) = self.socket() {
+            let _ = SockRef::from(&*socket).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -1,11 +1,14 @@
 //! The server side: pooled connections to servers, and the requests and probes sent over them.
 
-use crate::body::{BodyPrefix, BufferBudget, OutgoingBody, RequestBody, ResponseBody, StreamedBody};
+use crate::body::{
+    BodyPrefix, BufferBudget, HeldUpload, OutgoingBody, RequestBody, ResponseBody, StreamedBody, UploadEnd,
+};
 use crate::gate::{self, Expected, Gate, GateHandler, Head, Rejection};
-use birchswitch_engine::{AttemptResult, SendPermit};
+use crate::send_monitor::SendMonitor;
+use birchswitch_engine::AttemptResult;
+use birchswitch_host::delivery::DeliveryHold;
 use birchswitch_host::pool::{self, NewConnection, Pool, PooledConnection, Server};
-use birchswitch_host::socket::is_open_and_idle;
-use birchswitch_host::{AttemptHandle, Metrics, ProbeHandle, Upstream};
+use birchswitch_host::{AttemptHandle, Metrics, ProbeHandle, SendGrant, Upstream};
 use birchswitch_membership::Target;
 use birchswitch_site::{Names, ReportField};
 use finchvale::{LoadReport, Outcome, ServerId};
@@ -19,12 +22,11 @@
 use std::borrow::Cow;
 use std::cell::Cell;
 use std::fmt;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
+use tokio::time::{sleep_until, Instant};
 
 /// How long a connection has to be quiet before it is reused. Surplus bytes after a response that were still in transit
 /// when the connection was returned would otherwise be taken for the response to the next request.
@@ -40,31 +42,16 @@
 struct Connection {
     sender: http1::SendRequest<OutgoingBody>,
     driver: AbortHandle,
-    /// Weak, so that the socket closes when its driver ends, even while the connection is idle.
-    socket: Weak<TcpStream>,
+    monitor: SendMonitor,
     /// More bytes than the response were received with it.
     excess: Rc<Cell<bool>>,
-    progress: Rc<Cell<Progress>>,
     generation: u64,
 }
 
-/// How much of the current request has been written to the socket.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Progress {
-    /// Nothing yet.
-    NotStarted,
-    /// Some bytes.
-    Partial,
-    /// Everything that hyper had to write.
-    Complete,
-}
-
 impl PooledConnection for Connection {
     /// Whether the server has neither closed the connection nor sent unsolicited bytes.
     fn is_usable(&self) -> bool {
-        !self.excess.get()
-            && self.sender.is_ready()
-            && self.socket.upgrade().is_some_and(|s| is_open_and_idle(&s))
+        !self.excess.get() && self.sender.is_ready() && self.monitor.is_open_and_idle()
     }
 
     fn generation(&self) -> u64 {
@@ -72,6 +59,14 @@
     }
 }
 
+impl Connection {
+    /// Holds back the last bytes of an upload that is sent over this connection.
+    fn hold(&self, complete_by: Instant) -> Option<HeldUpload> {
+        let hold = DeliveryHold::new(&*self.monitor.socket()?, complete_by);
+        Some(HeldUpload { monitor: self.monitor.clone(), hold })
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -81,7 +76,7 @@
 /// Checks response heads. An invalid one ends the connection, and with it the attempt.
 struct ResponseHandler {
     excess: Rc<Cell<bool>>,
-    progress: Rc<Cell<Progress>>,
+    monitor: SendMonitor,
 }
 
 impl GateHandler for ResponseHandler {
@@ -100,11 +95,7 @@
     }
 
     fn written(&self, all: bool) {
-        match (all, self.progress.get()) {
-            (false, _) => self.progress.set(Progress::Partial),
-            (true, Progress::Partial) => self.progress.set(Progress::Complete),
-            (true, Progress::NotStarted | Progress::Complete) => {}
-        }
+        self.monitor.written(all);
     }
 }
 
@@ -170,36 +161,48 @@
         }
         let NewConnection { stream, slot, generation } = self.pool.connect(server).await?;
         let (stream, excess) = (Rc::new(stream), Rc::new(Cell::new(false)));
-        let socket = Rc::downgrade(&stream);
-        let progress = Rc::new(Cell::new(Progress::NotStarted));
-        let gate = Gate::new(stream, ResponseHandler { excess: excess.clone(), progress: progress.clone() });
+        let monitor = SendMonitor::new(&stream);
+        let gate = Gate::new(stream, ResponseHandler { excess: excess.clone(), monitor: monitor.clone() });
         let handshake =
             http1::Builder::new().max_buf_size(MAX_HYPER_BUFFER).handshake(TokioIo::new(gate)).await;
         let (sender, connection) = handshake.map_err(|_| Outcome::Unreachable)?;
         let driver = tokio::task::spawn_local(drive_connection(connection, slot)).abort_handle();
-        Ok(Connection { sender, driver, socket, excess, progress, generation })
+        Ok(Connection { sender, driver, monitor, excess, generation })
     }
 
     // ---- attempts and probes ----
-    /// Sends a request and reads its response, or the first part of a large one.
+    /// Sends a request and reads its response, or the first part of a large one. Gives up if the request is not with the
+    /// server at `complete_by`.
     async fn exchange(
         mut connection: Connection,
         request: Request<OutgoingBody>,
         left: Duration,
+        complete_by: Option<Instant>,
     ) -> Result<Exchange, Outcome> {
-        let body_sent = match request.body() {
+        let upload_end = match request.body() {
             OutgoingBody::Whole(_) => None,
-            OutgoingBody::Streamed(reader) => Some(reader.finished.clone()),
+            OutgoingBody::Streamed(reader) => Some(reader.end()),
+        };
+        let monitor = connection.monitor.clone();
+        monitor.reset();
+        let response = tokio::select! {
+            biased;
+            response = connection.sender.try_send_request(request) => response,
+            outcome = missed_window(&monitor, upload_end.as_deref(), complete_by) => return Err(outcome),
         };
-        connection.progress.set(Progress::NotStarted);
-        let response = match connection.sender.try_send_request(request).await {
+        let response = match response {
             Ok(response) => response,
             // Returned unsent. In any other case some of it may have reached the server and may have run there.
             Err(error) if error.message().is_some() => return Err(Outcome::Unreachable),
             // No server runs a request before it has received the last byte.
-            Err(_) if body_sent.is_some_and(|sent| !sent.get()) => return Err(Outcome::Unreachable),
-            Err(_) if connection.progress.get() != Progress::Complete => return Err(Outcome::Unreachable),
-            Err(_) => return Err(Outcome::Broken),
+            Err(_) => match upload_end.map(|end| end.get()) {
+                Some(UploadEnd::Pending) => return Err(Outcome::Unreachable),
+                Some(UploadEnd::Denied) => return Err(Outcome::NotSent),
+                Some(UploadEnd::Finished) | None if !monitor.is_written() => {
+                    return Err(Outcome::Unreachable)
+                }
+                Some(UploadEnd::Finished) | None => return Err(Outcome::Broken),
+            },
         };
         let (head, mut rest) = response.into_parts();
         match BodyPrefix::of_response(&mut rest, left).await {
@@ -244,7 +247,7 @@
         };
         // While connecting, the server may have started to drain, or the window in which duplicates are recognized may
         // have ended.
-        let SendPermit::Granted(left) = handle.permit_send() else {
+        let Some(SendGrant { left, complete_by }) = handle.permit_send() else {
             handle.finish(AttemptResult::from_outcome(Outcome::NotSent));
             return self.pool.give_back(&server, connection);
         };
@@ -255,11 +258,11 @@
             }
             RequestBody::Streamed(upload) => {
                 // The body can't be sent from the start any more: the attempt ends as not sent.
-                let Some(mut reader) = upload.new_reader() else {
+                let held = complete_by.and_then(|at| connection.hold(at));
+                let Some(reader) = upload.new_reader(Box::new(handle.last_byte_permit()), held) else {
                     handle.finish(AttemptResult::from_outcome(Outcome::NotSent));
                     return self.pool.give_back(&server, connection);
                 };
-                reader.on_written = Some(Box::new(handle.written_callback()));
                 (OutgoingBody::Streamed(reader), left.min(upload.client_timeout))
             }
         };
@@ -271,7 +274,7 @@
         outgoing.headers_mut().insert("x-timeout", timeout.expect("digits are a valid header value"));
         let sent = Instant::now();
         let Exchange { head, prefix, rest, connection } =
-            match Self::exchange(connection, outgoing, left).await {
+            match Self::exchange(connection, outgoing, left, complete_by).await {
                 Ok(exchange) => exchange,
                 Err(outcome) => return handle.finish(AttemptResult::from_outcome(outcome)),
             };
@@ -308,7 +311,7 @@
         let request = request
             .body(OutgoingBody::Whole(None))
             .expect("a fixed path and an address form a valid request");
-        let exchange = match Self::exchange(connection, request, PROBE_TIMEOUT).await {
+        let exchange = match Self::exchange(connection, request, PROBE_TIMEOUT, None).await {
             Ok(exchange) if exchange.prefix.complete => exchange,
             Ok(_) => return handle.finish(Outcome::Broken, None),
             Err(outcome) => return handle.finish(outcome, None),
@@ -321,6 +324,26 @@
     }
 }
 
+/// Waits until `complete_by`, and returns the outcome of the attempt if its request is not with the server then. A server
+/// that got the last byte later might not recognize the request's key any more.
+async fn missed_window(
+    monitor: &SendMonitor,
+    upload_end: Option<&Cell<UploadEnd>>,
+    complete_by: Option<Instant>,
+) -> Outcome {
+    let Some(complete_by) = complete_by else { return std::future::pending().await };
+    sleep_until(complete_by).await;
+    let all_handed_over = upload_end.is_none_or(|end| end.get() == UploadEnd::Finished);
+    if !all_handed_over || !monitor.is_written() {
+        monitor.discard_unsent();
+        return Outcome::NotSent;
+    }
+    monitor.undelivered(complete_by).await;
+    monitor.discard_unsent();
+    // What has just arrived may run.
+    Outcome::Broken
+}
+
 /// Deserializes a load report field by field without an intermediate map, since every probe returns one.
 struct ReportReader<'a>(&'a HttpUpstream);
 
--- a/crates/lab/src/world/nodes.rs
+++ b/crates/lab/src/world/nodes.rs
@@ -136,7 +136,7 @@
     }
 
     pub(super) fn send(&mut self, node: usize, attempt: AttemptId, server: ServerId, try_index: usize) {
-        let SendPermit::Granted(_) = self.nodes[node].engine.permit_send(self.now, attempt) else {
+        let SendPermit::Granted { .. } = self.nodes[node].engine.permit_send(self.now, attempt) else {
             return self.nodes[node].engine.attempt_ended(
                 self.now,
                 attempt,
--- a/crates/thrift-proxy/src/upstream.rs
+++ b/crates/thrift-proxy/src/upstream.rs
@@ -2,10 +2,11 @@
 
 use crate::decoder::MessageDecoder;
 use crate::settings::ThriftSettings;
-use birchswitch_engine::{AttemptResult, SendPermit};
+use birchswitch_engine::AttemptResult;
+use birchswitch_host::delivery::{self, DeliveryHold, HoldStep};
 use birchswitch_host::pool::{Limits, NewConnection, Pool, PooledConnection, Server};
 use birchswitch_host::socket::is_open_and_idle;
-use birchswitch_host::{AttemptHandle, Metrics, ProbeHandle, Upstream};
+use birchswitch_host::{AttemptHandle, Metrics, ProbeHandle, SendGrant, Upstream};
 use birchswitch_membership::Target;
 use birchswitch_thrift::walk::{self, Header, Paths, Value};
 use birchswitch_thrift::write::{self, Writer};
@@ -13,11 +14,13 @@
 use bytes::Bytes;
 use finchvale::{LoadReport, Outcome, ServerId};
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::{timeout_at, Instant};
 
 /// A call as the client sent it.
 #[derive(Clone, Debug)]
@@ -60,10 +63,20 @@
     Reply(Bytes),
     /// The connection failed before the last byte was written.
     Unsent,
+    /// The server would have got the last byte after it may have forgotten the call's key, so it was not written.
+    TooLate,
     /// The call may have been executed: no valid reply followed it, or it is a oneway of which a part was written.
     Broken,
 }
 
+/// Why a call was not written completely, and how many bytes of it were.
+enum WriteFailure {
+    /// The connection failed.
+    Broken(usize),
+    /// The server may have forgotten the call's key.
+    TooLate(usize),
+}
+
 impl ThriftUpstream {
     /// Creates an upstream without servers.
     pub fn new(settings: Rc<ThriftSettings>, connect_timeout: Duration, conn_idle: Duration) -> Rc<Self> {
@@ -114,16 +127,47 @@
 
     /// Writes a call. On failure, returns the number of bytes written.
     async fn write_call(connection: &mut Connection, bytes: &[u8]) -> Result<(), usize> {
-        let mut written = 0;
-        while written < bytes.len() {
-            match connection.stream.write(&bytes[written..]).await {
-                Ok(n) if n > 0 => written += n,
-                _ => return Err(written),
+        Self::write_from(connection, bytes, &mut 0).await
+    }
+
+    /// Writes what follows the first `written` bytes, and counts it there. On failure, returns that number.
+    async fn write_from(connection: &mut Connection, bytes: &[u8], written: &mut usize) -> Result<(), usize> {
+        while *written < bytes.len() {
+            match connection.stream.write(&bytes[*written..]).await {
+                Ok(n) if n > 0 => *written += n,
+                _ => return Err(*written),
             }
         }
         Ok(())
     }
 
+    /// Writes a call whose last byte the server has to read before `complete_by`. The last bytes of a large one are held
+    /// back until that is expected.
+    async fn write_call_in_time(
+        connection: &mut Connection,
+        bytes: &[u8],
+        complete_by: Instant,
+    ) -> Result<(), WriteFailure> {
+        let mut written = 0;
+        let writing = async {
+            if bytes.len() <= delivery::MAX_UNHELD {
+                return Self::write_from(connection, bytes, &mut written).await;
+            }
+            let mut hold = DeliveryHold::new(&connection.stream, complete_by);
+            let mut unheld = bytes.len() - delivery::HELD_BYTES;
+            Self::write_from(connection, &bytes[..unheld], &mut written).await?;
+            while poll_fn(|cx| hold.poll_step(cx, &connection.stream, true)).await == HoldStep::SendOne {
+                unheld = (unheld + 1).min(bytes.len() - 1);
+                Self::write_from(connection, &bytes[..unheld], &mut written).await?;
+            }
+            Self::write_from(connection, bytes, &mut written).await
+        };
+        match timeout_at(complete_by, writing).await {
+            Ok(result) => result.map_err(WriteFailure::Broken),
+            Err(_) => Err(WriteFailure::TooLate(written)),
+        }
+    }
+
     /// Reads the reply to the call with this sequence id and method.
     async fn read_reply(&self, connection: &mut Connection, seqid: i32, method: &str) -> ExchangeResult {
         loop {
@@ -213,15 +257,22 @@
         let Ok(bytes) = self.encode_call(&call, seqid) else {
             return attempt.finish(AttemptResult::from_outcome(Outcome::NotSent));
         };
-        if attempt.permit_send() == SendPermit::Denied {
+        let Some(SendGrant { complete_by, .. }) = attempt.permit_send() else {
             attempt.finish(AttemptResult::from_outcome(Outcome::NotSent));
             return self.pool.give_back(&server, connection);
-        }
-        let result = match Self::write_call(&mut connection, &bytes).await {
+        };
+        let written = match complete_by {
+            None => Self::write_call(&mut connection, &bytes).await.map_err(WriteFailure::Broken),
+            Some(at) => Self::write_call_in_time(&mut connection, &bytes, at).await,
+        };
+        let result = match written {
             // A server executes a call only once it has the last byte. A oneway counts as broken all the same: if the
             // server executed it after all, nothing would ever report that.
-            Err(written) if written == 0 || !call.oneway => ExchangeResult::Unsent,
-            Err(_) => ExchangeResult::Broken,
+            Err(WriteFailure::Broken(1..) | WriteFailure::TooLate(1..)) if call.oneway => {
+                ExchangeResult::Broken
+            }
+            Err(WriteFailure::Broken(_)) => ExchangeResult::Unsent,
+            Err(WriteFailure::TooLate(_)) => ExchangeResult::TooLate,
             Ok(()) if call.oneway => {
                 attempt.written();
                 attempt.finish(AttemptResult {
@@ -245,6 +296,7 @@
                 self.pool.give_back(&server, connection);
             }
             ExchangeResult::Unsent => attempt.finish(AttemptResult::from_outcome(Outcome::Unreachable)),
+            ExchangeResult::TooLate => attempt.finish(AttemptResult::from_outcome(Outcome::NotSent)),
             ExchangeResult::Broken => attempt.finish(AttemptResult::from_outcome(Outcome::Broken)),
         }
     }
@@ -282,7 +334,9 @@
                 probe.finish(if served { Outcome::Served } else { Outcome::Error }, report);
                 self.pool.give_back(&server, connection);
             }
-            ExchangeResult::Unsent | ExchangeResult::Broken => probe.finish(Outcome::Broken, None),
+            ExchangeResult::Unsent | ExchangeResult::TooLate | ExchangeResult::Broken => {
+                probe.finish(Outcome::Broken, None)
+            }
         }
     }
 }
--- a/node/tests/thrift.rs
+++ b/node/tests/thrift.rs
@@ -7,6 +7,8 @@
 use serde_json::json;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// A message whose struct holds one string in field 1, framed.
 fn message(protocol: Protocol, kind: MessageType, name: &str, seqid: i32, text: &str) -> Vec<u8> {
@@ -77,6 +79,16 @@
 
     /// With additional settings of the listener and of its servers.
     async fn with(servers: &[(&str, &Peer)], extra: &str, server_settings: &str) -> Self {
+        ThriftNode::with_site(settings(), servers, extra, server_settings).await
+    }
+
+    /// With the site's own settings.
+    async fn with_site(
+        site: serde_json::Value,
+        servers: &[(&str, &Peer)],
+        extra: &str,
+        server_settings: &str,
+    ) -> Self {
         let (http, thrift) = (Peer::new().await, Peer::new().await);
         let mut file = tempfile::NamedTempFile::new().expect("a file");
         let operator = format!(
@@ -101,7 +113,7 @@
         file.write_all(operator.as_bytes()).expect("a file");
         let config = json!({
             "name": "n", "listen": "127.0.0.1:0", "discovery": http.address().to_string(), "seed": "1f",
-            "limits": {"sockets": 1024, "memory_mb": 64}, "settings": settings(),
+            "limits": {"sockets": 1024, "memory_mb": 64}, "settings": site,
         });
         let path = file.path().to_str().expect("a path");
         let mut node = Node::with_config(config, &[("GW_OPERATOR", path)]).await;
@@ -628,6 +640,36 @@
 }
 
 /// A restart announced in the list closes the connections made before, even at the same address.
+/// Guards against a repeat of a large keyed call that begins within the replay window and is complete after it: the second
+/// server reads nothing until the window has passed, and may not get the last byte then.
+#[tokio::test]
+async fn no_last_byte_of_a_repeated_call_arrives_after_the_window() {
+    let window = Duration::from_millis(1500);
+    let mut site = settings();
+    site["profiles"][1]["repeat_window_ns"] = json!(window.as_nanos() as u64);
+    let (one, two) = (Peer::with_small_buffer(), Peer::with_small_buffer());
+    let large = "message_kb = 3000\nmemory_mb = 8\nconnections = 2";
+    let servers = [("one", &one), ("two", &two)];
+    let thrift_node = ThriftNode::with_site(site, &servers, large, "connections = 4").await;
+    let mut client = thrift_node.client().await;
+    let text = "k".repeat(500_000);
+    let running = async {
+        let (mut wire, other) = within("a first attempt", accept_call(&one, &two)).await;
+        assert_eq!(next(&mut wire).await.name, "topup");
+        wire.reset();
+        other.accept().await
+    };
+    let request = call("topup", 1, &text);
+    let ((), mut wire) = tokio::join!(client.write_bytes(&request), running);
+    let ran = Instant::now();
+    wire.first_byte().await;
+    assert!(ran.elapsed() < window, "the machine is too slow for this test");
+    tokio::time::sleep_until(ran + window).await;
+    let received = wire.read_to_end().await.len() + 1;
+    assert!(received < request.len(), "{received} of {} bytes arrived after the window", request.len());
+    assert_eq!(next(&mut client).await.kind, MessageType::Exception);
+}
+
 #[tokio::test]
 async fn a_restarted_server_is_called_on_new_connections() {
     let server = Peer::new().await;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -409,6 +409,8 @@
         request: RequestId,
         /// The attempt, counted from 0.
         attempt: u32,
+        /// Time that the server took to accept the rest of the request, without waits for the client.
+        transfer: Duration,
     },
     /// An attempt ended.
     AttemptEnded(AttemptEnded),
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -25,7 +25,8 @@
     match class.effect {
         Effect::Safe => true,
         Effect::Unsafe => false,
-        Effect::Keyed { window, .. } if now - uncertain.sent >= window => false,
+        // A server runs it once it has the last byte, and has to recognize the key then.
+        Effect::Keyed { window, .. } if now + r.transfer >= uncertain.sent + window => false,
         Effect::Keyed { scope: KeyScope::All, .. } => true,
         Effect::Keyed { scope: KeyScope::Zone, .. } => s.zone == uncertain.zone,
         Effect::Keyed { scope: KeyScope::Cell, .. } => s.cell == uncertain.cell,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -48,7 +48,9 @@
                     market::record_latency(self, now, server, latency.as_secs_f64());
                 }
             }
-            Event::RequestWritten { request, attempt } => self.request_written(now, request, attempt),
+            Event::RequestWritten { request, attempt, transfer } => {
+                self.request_written(now, request, attempt, transfer)
+            }
             Event::AttemptEnded(end) => attempt_ended(self, now, &end, actions),
             Event::ClientGone { request } => self.client_gone(request),
             Event::Timer { timer } if self.list_timer == Some(timer) => {
--- a/src/policy/tests/attempts.rs
+++ b/src/policy/tests/attempts.rs
@@ -4,6 +4,7 @@
 use super::super::helpers::*;
 use super::*;
 use crate::interface::*;
+use std::time::Duration;
 
 #[test]
 fn draws_follow_shares() {
@@ -16,6 +17,7 @@
     let (class, attempts) = (ClassId(0), Vec::new());
     let r = Request {
         body_complete: true,
+        transfer: Duration::ZERO,
         class,
         arrived: at(1),
         deadline: at(900),
@@ -68,3 +70,25 @@
     send(&mut b, at(4), RequestId(3), Some(wrong), &mut actions);
     assert!(matches!(actions[..], [Action::Refuse { .. }]), "{actions:?}");
 }
+
+/// Guards against a repeat that takes the server megabytes and can't be complete while the pod remembers the key: the first
+/// attempt showed how long the request takes to be accepted. A client's slowness is not part of that.
+#[test]
+fn a_repeat_that_takes_longer_than_the_window_does_not_begin() {
+    for (transfer, begins) in [(ms(100), true), (ms(10_000), false)] {
+        let mut b = balancer(8);
+        let keyed = b.settings.classes.iter().position(|c| matches!(c.effect, Effect::Keyed { .. }));
+        let class = ClassId(keyed.expect("a keyed class") as u8);
+        let Event::Arrival(a) = arrival(1, class.0) else { unreachable!("not an arrival") };
+        let mut actions = vec![];
+        let remaining = ms(60_000);
+        b.handle(at(1), Event::Arrival(Arrival { body_complete: false, remaining, ..a }), &mut actions);
+        let [Action::Send { server, .. }] = actions[..] else { panic!("not sent: {actions:?}") };
+        actions.clear();
+        let (request, attempt) = (RequestId(1), 0);
+        b.handle(at(20), Event::RequestWritten { request, attempt, transfer }, &mut actions);
+        b.handle(at(40), ended(1, 0, server, Outcome::Broken, None), &mut actions);
+        let sent = actions.iter().any(|action| matches!(action, Action::Send { .. }));
+        assert_eq!(sent, begins, "{transfer:?}: {actions:?}");
+    }
+}
--- a/src/policy/tests/estimate.rs
+++ b/src/policy/tests/estimate.rs
@@ -3,6 +3,7 @@
 use super::super::helpers::*;
 use super::*;
 use crate::interface::*;
+use std::time::Duration;
 
 fn probing() -> Balancer {
     let settings = Settings { reports: Reports::ByProbe, reports_rate: false, may_probe: true, ..settings() };
@@ -17,6 +18,7 @@
     let (class, arrived, deadline) = (ClassId(1), at(0), at(1000));
     let (attempts, candidates) = (Vec::new(), Vec::new());
     Request {
+        transfer: Duration::ZERO,
         class,
         arrived,
         deadline,
--- a/src/policy/tests/market.rs
+++ b/src/policy/tests/market.rs
@@ -430,7 +430,8 @@
             price(&|id| id == server) > price(&|id| id != server)
         };
         assert_eq!(wait(&mut b, 1), body_complete, "must cost more only while the answer is due");
-        b.handle(at(4200), Event::RequestWritten { request: RequestId(1), attempt: 0 }, &mut actions);
+        let (request, attempt, transfer) = (RequestId(1), 0, Duration::ZERO);
+        b.handle(at(4200), Event::RequestWritten { request, attempt, transfer }, &mut actions);
         assert!(wait(&mut b, 43), "the answer is due from here on");
     }
 }
--- a/src/policy/tests/probes.rs
+++ b/src/policy/tests/probes.rs
@@ -217,6 +217,7 @@
     let probe_count = |worth| {
         let (candidates, attempts, work) = (candidates.clone(), vec![], Some(0.1));
         let r = Request {
+            transfer: Duration::ZERO,
             class,
             arrived,
             deadline,
@@ -257,6 +258,7 @@
         answer_due,
         response_started,
         body_complete,
+        transfer: Duration::ZERO,
         attempts,
         worth: 1.0,
         why: Refusal::NoServer,
--- a/src/state.rs
+++ b/src/state.rs
@@ -287,6 +287,8 @@
     pub response_started: bool,
     /// Whether the request has been received completely, so that a server can start as soon as it is sent.
     pub body_complete: bool,
+    /// Time that a server took to accept a request that arrived incomplete; zero for others.
+    pub transfer: Duration,
     pub attempts: Vec<Attempt>,
     /// Its worth relative to that of a mean request.
     pub worth: f64,
@@ -323,6 +325,7 @@
             answer_due,
             response_started,
             body_complete,
+            transfer: Duration::ZERO,
             attempts,
             worth,
             why,
@@ -802,10 +805,11 @@
     }
 
     /// Records that the server has received the whole request: the attempt counts as sent now.
-    pub(crate) fn request_written(&mut self, now: Time, id: RequestId, attempt: u32) {
+    pub(crate) fn request_written(&mut self, now: Time, id: RequestId, attempt: u32, transfer: Duration) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.body_complete) else { return };
         let Some(a) = r.attempts.get_mut(attempt as usize).filter(|a| !a.ended) else { return };
         r.body_complete = true;
+        r.transfer = transfer;
         a.sent = now;
         let Some(&i) = self.index.get(&a.server) else { return };
         let s = &mut self.servers[i];
