Clients that stop in the middle of a request make room for those that wait

Cause: from the end of its head on a request counted as processed, also while its body was waited for, and such a connection was never given up for another. A stopped body ended by its rate alone: 3.1 s for 20 kB, longer for more.

Change: State::ReadingBody, and front/input_progress.rs with the gate's word on how a request arrives. front/eviction.rs orders who makes room, as a plain function. Stopped heads and bodies get 408, large ones 503, with a close. A body that is silent for 2.5 s is given up. A slot is cleared only for a connection that was accepted and waits. Engine::reject cancels attempts sent in part. The same for incomplete Thrift calls.

Why it works: what a stopped client keeps is given up after 0.3 to 0.4 s of silence where another waits, and a request whose last byte has come is not.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -194,11 +194,27 @@
         let open = self.requests.get(&request).is_some_and(RequestState::is_open);
         self.answer(request, |can_refuse| if can_refuse { Answer::Refused(wait) } else { Answer::Failed });
         if open {
+            self.cancel_incomplete_attempts(now, request);
             self.handle_event(now, Event::ClientGone { request });
             self.remove_if_finished(request);
         }
     }
 
+    /// Cancels the attempts of a closed request that were sent in part: their last byte is never permitted.
+    fn cancel_incomplete_attempts(&mut self, now: Time, request: RequestId) {
+        let Some(entry) = self.requests.get(&request) else { return };
+        let incomplete = |a: &Attempt| a.in_flight && a.send_permitted && a.may_run_from.is_none();
+        let numbers: Vec<_> =
+            (0..).zip(&entry.attempts).filter(|(_, a)| incomplete(a)).map(|a| a.0).collect();
+        for number in numbers {
+            let attempt = AttemptId { request, number };
+            if let Some(event) = self.finish_attempt(now, attempt, Outcome::Cancelled, None) {
+                self.commands.push_back(Command::Cancel(attempt));
+                self.handle_event(now, event);
+            }
+        }
+    }
+
     /// Decides whether an attempt may be sent. Has to be called immediately before its first byte. If denied,
     /// the caller ends the attempt with [`Outcome::NotSent`]; if granted, it sends the request once.
     pub fn permit_send(&mut self, now: Time, attempt: AttemptId) -> SendPermit {
--- a/crates/engine/tests/rules.rs
+++ b/crates/engine/tests/rules.rs
@@ -502,6 +502,19 @@
     }
 }
 
+/// Guards against charging a server with the time-out of an upload whose client stopped sending.
+#[test]
+fn an_upload_that_is_given_up_is_refused_and_its_attempt_cancelled() {
+    let mut harness = Harness::new(NextServerPolicy, false);
+    let id = harness.arrive_with(UNSAFE, b"a", false).expect("accepted");
+    assert!(matches!(harness.write(0), SendPermit::Granted { .. }));
+    harness.engine.reject(harness.now, id, None);
+    harness.drain();
+    assert_eq!(answered(&harness, id), Some(Answer::Refused(None)));
+    assert!(harness.pending.is_empty(), "its connection is closed");
+    assert_eq!(harness.engine.active_requests(), 0);
+}
+
 #[test]
 fn an_attempt_is_permitted_once() {
     let mut harness = Harness::new(NextServerPolicy, false);
--- a/crates/http/src/body/mod.rs
+++ b/crates/http/src/body/mod.rs
@@ -34,7 +34,7 @@
 /// Maximum size of a request or response body.
 pub const MAX_BODY: u64 = 40 << 20;
 /// Minimum rate in bytes per second at which a request body has to arrive ...
-const MIN_RATE: f64 = 32.0 * 1024.0;
+pub const MIN_RATE: f64 = 32.0 * 1024.0;
 /// ... after this time, during which a slower or stalled sender is tolerated.
 const MIN_RATE_GRACE: Duration = Duration::from_millis(2500);
 /// Why a body ended before it was complete.
--- a/crates/http/src/front/client.rs
+++ b/crates/http/src/front/client.rs
@@ -1,5 +1,7 @@
 //! The state of one client connection: what it is waiting for, which responses are owed, and what its gate may read.
 
+use super::eviction::Activity;
+use super::input_progress::InputProgress;
 use crate::gate::{self, Expected, GateHandler, Head, ReadMode, Rejection};
 use birchswitch_host::socket::{self, is_open_and_idle};
 use hyper::StatusCode;
@@ -15,14 +17,10 @@
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2500);
 /// A client that takes nothing more of a response for this long is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
-/// A connection may be idle for this long between requests ...
+/// A connection may be idle for this long between requests.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-/// ... and at least this long even when slots are needed for other connections.
-const EVICT_IDLE_AFTER: Duration = Duration::from_secs(2);
-/// A connection without any input is evicted sooner, but what was sent right after connecting needs a moment to arrive.
-const EVICT_NEW_AFTER: Duration = Duration::from_millis(10);
-/// A connection with an incomplete head is evicted after this time.
-const EVICT_HEAD_AFTER: Duration = Duration::from_millis(200);
+/// A client that sends nothing of the rest of its body for this long gets its error.
+const BODY_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// The method of the request that hyper reads in place of a rejected one, so that the rejection is sent in the order of
 /// the connection's responses. No client can send this method: the gate accepts only GET and POST.
@@ -49,6 +47,13 @@
     /// Set when the connection is to close and had received nothing of a further request when that was decided: its
     /// state before, and since when.
     silent_before_close: Cell<Option<(State, Instant)>>,
+    /// How the current request arrives.
+    input: InputProgress,
+    /// The rest of the current body is not waited for any longer.
+    body_abandoned: Cell<bool>,
+    /// The end of the current body is noticed as soon as it has arrived.
+    body_end_detectable: Cell<bool>,
+    abandonment: Notify,
     /// The client has closed its sending side.
     peer_closed: Cell<bool>,
     disconnect: Notify,
@@ -67,7 +72,9 @@
     ReadingHead,
     /// The current head took too long.
     HeadTimedOut,
-    /// A request is being processed.
+    /// The body of a request is being received. If it is large, it may be on its way to a server.
+    ReadingBody,
+    /// A request that was received completely is being processed.
     Processing,
     /// A response is being streamed; `since` is the time of the latest progress.
     Streaming,
@@ -91,6 +98,10 @@
             read_ahead: Cell::new(0),
             eof_undetectable: Cell::new(false),
             silent_before_close: Cell::new(None),
+            input: InputProgress::new(Instant::now()),
+            body_abandoned: Cell::new(false),
+            body_end_detectable: Cell::new(false),
+            abandonment: Notify::new(),
             peer_closed: Cell::new(false),
             disconnect: Notify::new(),
             last_response: Cell::new(false),
@@ -107,11 +118,6 @@
         self.since.set(Instant::now());
     }
 
-    /// When the connection entered its state, or last made progress with a streamed response.
-    pub(super) fn since(&self) -> Instant {
-        self.since.get()
-    }
-
     fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.since.get())
     }
@@ -126,7 +132,7 @@
     /// Records that a response was handed to hyper completely, or that the rest of it is not needed.
     pub(super) fn response_done(&self) {
         self.responses.set(self.responses.get() + 1);
-        if matches!(self.state.get(), State::Processing | State::Streaming) {
+        if matches!(self.state.get(), State::ReadingBody | State::Processing | State::Streaming) {
             self.enter(State::Idle);
         }
         self.wake.notify_one();
@@ -152,15 +158,89 @@
         self.state.get() == State::Idle && !self.has_read_ahead() && is_open_and_idle(&self.socket)
     }
 
-    /// Whether the connection may be closed to free its slot for another one.
-    pub(super) fn is_evictable(&self) -> bool {
-        let min_age = match self.state.get() {
-            State::New => EVICT_NEW_AFTER,
-            State::ReadingHead | State::HeadTimedOut => EVICT_HEAD_AFTER,
-            State::Idle => EVICT_IDLE_AFTER,
-            State::Processing | State::Streaming | State::Closing => return false,
+    /// What the connection is doing, if that is nothing that an answer is owed for.
+    pub(super) fn evictable_activity(&self, now: Instant) -> Option<Activity> {
+        let age = self.age(now);
+        let activity = match self.state.get() {
+            State::New => Activity::New(age),
+            State::ReadingHead => Activity::Head(age),
+            State::Idle => Activity::Idle(age),
+            State::ReadingBody if !self.body_abandoned.get() && self.is_body_missing() => Activity::Body {
+                silence: self.input.silence(now),
+                behind: self.input.is_behind(now),
+                longest_pause: self.input.longest_pause(),
+            },
+            State::HeadTimedOut
+            | State::ReadingBody
+            | State::Processing
+            | State::Streaming
+            | State::Closing => return None,
         };
-        self.age(Instant::now()) >= min_age && is_open_and_idle(&self.socket)
+        is_open_and_idle(&self.socket).then_some(activity)
+    }
+
+    /// Frees the connection's slot: a client that has sent part of a request gets its error first.
+    pub(super) fn evict(&self) {
+        match self.state.get() {
+            State::ReadingHead => self.abandon_head(),
+            State::ReadingBody => self.abandon_body(),
+            _ => self.request_close(),
+        }
+    }
+
+    fn abandon_head(&self) {
+        self.state.set(State::HeadTimedOut);
+        self.wake.notify_one();
+    }
+
+    /// Whether the client stopped in the middle of a request, which was rejected for that.
+    pub(super) fn has_stopped(&self) -> bool {
+        let head_abandoned = self.rejection.get().is_some_and(|r| r.0 == StatusCode::REQUEST_TIMEOUT);
+        head_abandoned || self.has_abandoned_body()
+    }
+
+    /// Whether the rest of the current body has surely not arrived, as far as it was read.
+    fn is_body_missing(&self) -> bool {
+        self.body_end_detectable.get() && !self.input.is_complete()
+    }
+
+    fn abandon_body(&self) {
+        self.body_abandoned.set(true);
+        self.abandonment.notify_one();
+    }
+
+    /// Whether the rest of the latest body was not waited for.
+    pub(super) fn has_abandoned_body(&self) -> bool {
+        self.body_abandoned.get()
+    }
+
+    /// Waits until the rest of the current body is not waited for any longer. What arrives at the last moment keeps the
+    /// request going.
+    pub(super) async fn body_abandoned(&self) {
+        loop {
+            self.abandonment.notified().await;
+            // The flag is not set if the notification was for an earlier body.
+            if self.body_abandoned.get() && self.is_body_missing() && is_open_and_idle(&self.socket) {
+                return;
+            }
+            self.body_abandoned.set(false);
+        }
+    }
+
+    /// Records that a body is being received, and whether its end is noticed as soon as it has arrived.
+    pub(super) fn receive_body(&self, end_detectable: bool) {
+        self.body_end_detectable.set(end_detectable);
+        if self.state.get() != State::ReadingBody {
+            self.enter(State::ReadingBody);
+        }
+    }
+
+    /// Records that the current body was received completely.
+    pub(super) fn body_received(&self) {
+        self.body_abandoned.set(false);
+        if self.state.get() == State::ReadingBody {
+            self.enter(State::Processing);
+        }
     }
 
     /// Asks the connection's task to close it.
@@ -196,10 +276,14 @@
             State::New if age >= HEAD_TIMEOUT && is_open_and_idle(&self.socket) => self.request_close(),
             State::Streaming if age >= WRITE_TIMEOUT => self.request_close(),
             State::Idle if age >= IDLE_TIMEOUT && is_open_and_idle(&self.socket) => self.request_close(),
-            State::ReadingHead if age >= HEAD_TIMEOUT => {
-                self.state.set(State::HeadTimedOut);
-                self.wake.notify_one();
+            State::ReadingBody
+                if self.input.silence(now) >= BODY_TIMEOUT
+                    && self.is_body_missing()
+                    && is_open_and_idle(&self.socket) =>
+            {
+                self.abandon_body();
             }
+            State::ReadingHead if age >= HEAD_TIMEOUT => self.abandon_head(),
             _ => {}
         }
     }
@@ -253,13 +337,19 @@
 
     fn head_started(&self) -> Result<(), Rejection> {
         match self.state.get() {
+            // The time limit of the first head counts from the acceptance.
             State::New => self.state.set(State::ReadingHead),
             State::Idle => self.enter(State::ReadingHead),
             // The connection was silent, and its request arrived just as it was about to close.
             State::Closing if self.silent_before_close.get().is_some() => self.enter(State::ReadingHead),
             State::HeadTimedOut => return Err((StatusCode::REQUEST_TIMEOUT, "the head took too long")),
-            State::ReadingHead | State::Processing | State::Streaming | State::Closing => {}
+            State::ReadingHead
+            | State::ReadingBody
+            | State::Processing
+            | State::Streaming
+            | State::Closing => return Ok(()),
         }
+        self.input.start(Instant::now());
         Ok(())
     }
 
@@ -274,7 +364,16 @@
         }
     }
 
+    fn received(&self, bytes: usize) {
+        self.input.received(bytes, Instant::now());
+    }
+
+    fn message_received(&self) {
+        self.input.set_complete();
+    }
+
     fn message_complete(&self, arrived: Instant) {
+        self.input.passed_on(self.read_ahead.get());
         self.requests.set(self.requests.get() + 1);
         self.last_byte.set(Some(arrived));
     }
--- a/crates/http/src/front/client/tests.rs
+++ b/crates/http/src/front/client/tests.rs
@@ -1,7 +1,8 @@
 //! Input that arrives at the moment when a connection is about to be closed for inactivity.
 
-use super::{Client, GateHandler, State, HEAD_TIMEOUT, IDLE_TIMEOUT};
+use super::{Client, GateHandler, State, BODY_TIMEOUT, HEAD_TIMEOUT, IDLE_TIMEOUT};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
@@ -62,3 +63,33 @@
     client.check_timeouts(Instant::now() + HEAD_TIMEOUT);
     assert!(client.should_close());
 }
+
+/// What arrives after the decision to make room keeps the request going; silence ends it.
+#[tokio::test]
+async fn input_after_the_decision_to_abandon_a_body_keeps_it() {
+    let (client, mut peer) = connection().await;
+    client.head_started().expect("the head is accepted");
+    client.receive_body(true);
+    client.evict();
+    send_unread_byte(&client, &mut peer).await;
+    let abandoned = async { tokio::time::timeout(Duration::from_millis(20), client.body_abandoned()).await };
+    assert!(abandoned.await.is_err(), "the byte would be lost");
+    assert!(!client.has_abandoned_body());
+    client.socket.try_read(&mut [0]).expect("the byte");
+    client.evict();
+    client.body_abandoned().await;
+    assert!(client.has_abandoned_body());
+}
+
+/// A request whose last byte was received is owed its answer, whether or not it was passed on.
+#[tokio::test]
+async fn a_complete_body_is_not_evictable() {
+    let (client, _peer) = connection().await;
+    client.head_started().expect("the head is accepted");
+    client.receive_body(true);
+    assert!(client.evictable_activity(Instant::now()).is_some());
+    client.message_received();
+    assert_eq!(client.evictable_activity(Instant::now()), None);
+    client.check_timeouts(Instant::now() + BODY_TIMEOUT);
+    assert!(!client.has_abandoned_body());
+}
--- a/crates/http/src/front/connection.rs
+++ b/crates/http/src/front/connection.rs
@@ -6,7 +6,7 @@
 use super::{HttpFrontend, ShutdownPhase};
 use crate::gate::Gate;
 use crate::upstream::MAX_HYPER_BUFFER;
-use birchswitch_host::socket;
+use birchswitch_host::socket::{self, is_open_and_idle};
 use hyper::body::Incoming as Body;
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
@@ -75,7 +75,7 @@
                 connection.as_mut().graceful_shutdown();
                 // Its last response may still be in transit. A request that was read meanwhile is answered.
                 while timeout(FLUSH_TIMEOUT, connection.as_mut()).await.is_err()
-                    && client.state() == State::Processing
+                    && matches!(client.state(), State::ReadingBody | State::Processing)
                 {}
                 break;
             }
@@ -112,11 +112,16 @@
         Ok(response.map(|body| TrackedBody::new(body, client.clone())))
     }
 
-    /// Closes the sending side, then reads and discards remaining input, so that the client gets its last response.
+    /// Closes the sending side, then reads and discards remaining input, so that the client gets its last response. A client
+    /// that stopped in the middle of a request sends nothing that would have to be discarded, and makes room at once.
     async fn linger(&self, client: &Client) {
-        if client.is_last_response() || !self.slots_are_scarce() {
+        let scarce = self.slots_are_scarce();
+        if client.is_last_response() || !scarce {
             let _ = SockRef::from(&*client.socket).shutdown(Shutdown::Write);
-            socket::linger(&client.socket).await;
+            let stopped = client.has_stopped() && is_open_and_idle(&client.socket);
+            if !(scarce && stopped) {
+                socket::linger(&client.socket).await;
+            }
         }
     }
 }
--- a/crates/http/src/front/mod.rs
+++ b/crates/http/src/front/mod.rs
@@ -1,10 +1,13 @@
 //! The client side: accepts connections, validates requests, and writes the final responses.
 //!
-//! [`HttpFrontend`] accepts connections and evicts idle ones; `connection` serves one connection, whose state `client`
-//! tracks; `response` handles one request, whose head `request_head` parses; `tracked_body` sends the response body.
+//! [`HttpFrontend`] accepts connections and makes room for them as `eviction` says; `connection` serves one connection, whose
+//! state `client` and `input_progress` track; `response` handles one request, whose head `request_head` parses;
+//! `tracked_body` sends the response body.
 
 mod client;
 mod connection;
+mod eviction;
+mod input_progress;
 mod request_head;
 mod response;
 mod tracked_body;
@@ -104,13 +107,15 @@
             let _ = phase.wait_for(|p| *p >= until).await;
         });
         loop {
-            // Not cancelled when the node closes: connections in the kernel's queue may hold requests, which would be
-            // lost with the socket.
-            let permit = self.acquire_slot().await;
             tokio::select! {
-                biased; // For the same reason, the queue comes before the shutdown.
+                // Connections in the kernel's queue may hold requests, which would be lost with the socket.
+                biased;
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => self.clone().start_connection(stream, permit),
+                    // Connections are evicted only for one that waits.
+                    Ok((stream, _)) => {
+                        let permit = self.acquire_slot().await;
+                        self.clone().start_connection(stream, permit);
+                    }
                     Err(error) => {
                         self.host.log(format_args!("accept: {error}"));
                         tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -127,19 +132,13 @@
         checker.abort();
     }
 
-    /// Acquires a slot for one more connection. If none is free, evicts silent connections, the longest silent first,
-    /// and several at a time since more connections are likely to be waiting.
+    /// Acquires a slot for one more connection. If none is free, evicts others, several at a time since more connections are
+    /// likely to be waiting.
     async fn acquire_slot(&self) -> OwnedSemaphorePermit {
         loop {
             let permit = timeout(SLOT_RETRY, self.slots.clone().acquire_owned());
             if self.slots.available_permits() == 0 {
-                let clients = self.clients.borrow();
-                let mut evictable: Vec<_> = clients.values().filter(|c| c.is_evictable()).collect();
-                evictable.sort_unstable_by_key(|c| c.since());
-                evictable
-                    .iter()
-                    .take(self.max_connections.div_ceil(EVICTION_DIVISOR) as usize)
-                    .for_each(|c| c.request_close());
+                self.evict_clients();
             }
             if let Ok(permit) = permit.await {
                 return permit.expect("the semaphore is never closed");
@@ -147,6 +146,15 @@
         }
     }
 
+    fn evict_clients(&self) {
+        let now = Instant::now();
+        let clients = self.clients.borrow();
+        let activities =
+            clients.values().filter_map(|client| Some((client, client.evictable_activity(now)?)));
+        let count = self.max_connections.div_ceil(EVICTION_DIVISOR) as usize;
+        eviction::select(activities, count).into_iter().for_each(|client| client.evict());
+    }
+
     fn slots_are_scarce(&self) -> bool {
         self.slots.available_permits() < (self.max_connections / SCARCE_DIVISOR) as usize
     }
--- a/crates/http/src/front/response.rs
+++ b/crates/http/src/front/response.rs
@@ -10,7 +10,7 @@
 use birchswitch_host::{socket, PendingRequest, Request as Submission};
 use bytes::Bytes;
 use finchvale::Time;
-use hyper::body::Incoming as Body;
+use hyper::body::{Body as _, Incoming as Body};
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use std::rc::Rc;
@@ -49,10 +49,16 @@
             Ok(head) => head,
             Err((status, why)) => return rejection_response(status, why),
         };
-        let prefix = match self.read_body(&mut body, received).await {
+        client.receive_body(true);
+        let prefix = match self.read_body(client, &mut body, received).await {
             Ok(prefix) => prefix,
             Err((status, why)) => return rejection_response(status, why),
         };
+        match prefix.complete {
+            true => client.body_received(),
+            // A server that reads slowly may leave the end of a chunked body unparsed.
+            false => client.receive_body(body.size_hint().exact().is_some()),
+        }
         if client.is_disconnected().await {
             return plain(StatusCode::SERVICE_UNAVAILABLE, "nobody waits for the answer");
         }
@@ -100,6 +106,9 @@
             None => wait_for_answer(&mut pending, client).await,
             Some(upload) => {
                 let answer = wait_for_upload_answer(&mut pending, client, &upload, deadlines).await;
+                if client.has_abandoned_body() {
+                    return closing(into_response(answer, pending.rejection_message()));
+                }
                 // A client may read the response only after it has written everything.
                 spawn_local(upload.drain());
                 answer
@@ -108,16 +117,24 @@
         into_response(answer, pending.rejection_message())
     }
 
-    /// Reads a body, or the first part of a large one. Gives up when the node shuts down.
-    async fn read_body(&self, body: &mut Body, received: Instant) -> Result<BodyPrefix, Rejection> {
+    /// Reads a body, or the first part of a large one. Gives up when the client has stopped sending it, when its slot is
+    /// needed, or when the node shuts down.
+    async fn read_body(
+        &self,
+        client: &Client,
+        body: &mut Body,
+        received: Instant,
+    ) -> Result<BodyPrefix, Rejection> {
+        const TOO_SLOW: Rejection = (StatusCode::REQUEST_TIMEOUT, "the body took too long");
         let mut phase = self.phase.clone();
         tokio::select! {
             biased;
             prefix = BodyPrefix::read(body, |bytes| body::progress_deadline(received, bytes), false) =>
                 prefix.map_err(|error| match error {
-                BodyError::TimedOut => (StatusCode::REQUEST_TIMEOUT, "the body took too long"),
+                BodyError::TimedOut => TOO_SLOW,
                 _ => (StatusCode::BAD_REQUEST, "the body is not whole"),
             }),
+            () = client.body_abandoned() => Err(TOO_SLOW),
             _ = phase.wait_for(|p| *p == ShutdownPhase::Finishing) => Err(SHUTTING_DOWN),
         }
     }
@@ -165,7 +182,7 @@
 }
 
 /// Waits for the answer to a request whose body is still being received. Its timeout starts with the last byte, and
-/// ends at once when the upload stalls. A client that closes its sending side has gone, whether or not the body was
+/// ends at once when the upload stalls or is abandoned. A client that closes its sending side has gone, whether or not the body was
 /// read completely. While no attempt reads the body, some of it is read ahead, so that the end of the connection is
 /// noticed.
 async fn wait_for_upload_answer(
@@ -182,6 +199,7 @@
             () = socket::wait_read_closed(&client.socket) => break,
             () = upload.wait_complete(), if receiving => {
                 receiving = false;
+                client.body_received();
                 let (deadline, answer_deadline) = deadlines(Instant::now());
                 pending.set_deadlines(deadline, answer_deadline);
             }
@@ -197,6 +215,7 @@
                     pending.set_deadlines(Instant::now(), Instant::now());
                 }
             }
+            () = client.body_abandoned(), if receiving => break,
         }
     }
     pending.abandon();
@@ -206,7 +225,11 @@
 /// The response to a rejected request. It closes the connection: after a malformed request, the start of the next one
 /// can't be trusted.
 pub(super) fn rejection_response(status: StatusCode, why: &'static str) -> Response<ResponseBody> {
-    let mut response = plain(status, why);
+    closing(plain(status, why))
+}
+
+/// Makes a response the last of its connection.
+fn closing(mut response: Response<ResponseBody>) -> Response<ResponseBody> {
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
 }
--- a/crates/http/src/gate/mod.rs
+++ b/crates/http/src/gate/mod.rs
@@ -93,6 +93,10 @@
     fn read_mode(&self) -> ReadMode {
         ReadMode::Forward
     }
+    /// This many bytes were received.
+    fn received(&self, _bytes: usize) {}
+    /// The last byte of the current message was received, though it may not have been forwarded yet.
+    fn message_received(&self) {}
     /// A message was forwarded completely; its last byte was received at `_arrived`.
     fn message_complete(&self, _arrived: Instant) {}
     /// This many bytes are buffered behind the message being processed.
@@ -164,6 +168,7 @@
                     self.read_size = if n >= READ_SIZE { LARGE_READ_SIZE } else { READ_SIZE };
                     self.peer_closed = n == 0;
                     self.arrivals.record(n, Instant::now());
+                    self.handler.received(n);
                     return Poll::Ready(Ok(n));
                 }
                 (None, Err(error)) if error.kind() != io::ErrorKind::WouldBlock => {
@@ -174,6 +179,14 @@
         }
     }
 
+    /// Tells the handler if the buffer holds the rest of the current message.
+    fn check_message_received(&self) {
+        let buffered = (self.buffer.len() - self.forwardable) as u64;
+        if matches!(self.expected, Expected::Body(left) if left <= buffered) {
+            self.handler.message_received();
+        }
+    }
+
     /// Completes a message whose last byte was received at `arrived`.
     fn finish_message(&mut self, arrived: Instant) {
         self.expected = H::BETWEEN_MESSAGES;
@@ -222,6 +235,7 @@
         match self.handler.parse_head(&self.buffer)? {
             Some(head) if self.interim_bytes + head.length <= MAX_HEAD => {
                 (self.forwardable, self.expected) = (head.length, head.next);
+                self.check_message_received();
                 self.interim_bytes =
                     if head.next == Expected::Head { self.interim_bytes + head.length } else { 0 };
                 Ok(true)
@@ -266,6 +280,7 @@
                     if ready!(me.fill_buffer(cx))? == 0 {
                         return Poll::Ready(Ok(()));
                     }
+                    me.check_message_received();
                 }
                 Expected::Body(left) => {
                     me.forwardable = me.buffer.len().min(usize::try_from(left).unwrap_or(usize::MAX));
--- a/crates/thrift-proxy/src/front/connection.rs
+++ b/crates/thrift-proxy/src/front/connection.rs
@@ -1,7 +1,7 @@
 //! One client connection: reads its calls in order and writes their replies as they arrive.
 
 use super::call::{AcceptedCall, Rejection};
-use super::{ThriftFrontend, EVICT_IDLE_AFTER, EVICT_NEW_AFTER};
+use super::{ThriftFrontend, EVICT_IDLE_AFTER, EVICT_NEW_AFTER, EVICT_PARTIAL_AFTER};
 use crate::decoder::MessageDecoder;
 use birchswitch_host::socket::{is_open_and_idle, linger, wait_read_closed};
 use rustc_hash::FxHashSet;
@@ -34,6 +34,8 @@
     idle_since: Cell<Option<Instant>>,
     /// Whether at least one message was received.
     has_sent: Cell<bool>,
+    /// When the latest bytes of an incomplete message were received.
+    partial_since: Cell<Option<Instant>>,
     evicted: Notify,
 }
 
@@ -43,19 +45,25 @@
             id,
             idle_since: Cell::new(Some(Instant::now())),
             has_sent: Cell::new(false),
+            partial_since: Cell::new(None),
             evicted: Notify::new(),
         })
     }
 
-    /// When the client's last call in flight ended; `None` while calls are in flight.
-    pub(super) fn idle_since(&self) -> Option<Instant> {
-        self.idle_since.get()
+    /// The order of eviction: connections without an incomplete message first, then the longest idle.
+    pub(super) fn eviction_order(&self) -> (bool, Option<Instant>) {
+        (self.partial_since.get().is_some(), self.partial_since.get().or(self.idle_since.get()))
     }
 
-    /// Whether the connection has been idle for long enough to be evicted in favour of a new one.
+    /// Whether the connection may be evicted in favour of a new one: no call is in flight, and nothing was received for
+    /// long enough.
     pub(super) fn is_evictable(&self) -> bool {
-        let min_idle = if self.has_sent.get() { EVICT_IDLE_AFTER } else { EVICT_NEW_AFTER };
-        self.idle_since.get().is_some_and(|since| since.elapsed() >= min_idle)
+        let Some(idle_since) = self.idle_since.get() else { return false };
+        match (self.partial_since.get(), self.has_sent.get()) {
+            (Some(since), _) => since.elapsed() >= EVICT_PARTIAL_AFTER,
+            (None, true) => idle_since.elapsed() >= EVICT_IDLE_AFTER,
+            (None, false) => idle_since.elapsed() >= EVICT_NEW_AFTER,
+        }
     }
 
     /// Requests that the connection be closed, unless bytes have arrived on it.
@@ -152,6 +160,7 @@
                 Ok(None) => {
                     message_started =
                         (!decoder.is_empty()).then(|| message_started.unwrap_or_else(Instant::now));
+                    client.partial_since.set(message_started.map(|_| Instant::now()));
                     if let Some(end) = self.read_more(read_half, &mut decoder, client, message_started).await
                     {
                         return end;
@@ -167,6 +176,7 @@
                 }
             };
             message_started = None;
+            client.partial_since.set(None);
             client.has_sent.set(true);
             let Some(dialect) = decoder.dialect() else { return ConnectionEnd::Drain };
             let (header, options) = match self.read_call(dialect, &bytes) {
@@ -279,7 +289,7 @@
                         Err(_) => return Some(ConnectionEnd::Abandoned),
                     }
                 }
-                () = client.evicted.notified() => if message_started.is_none() && is_open_and_idle(read_half.as_ref()) {
+                () = client.evicted.notified() => if client.is_evictable() && is_open_and_idle(read_half.as_ref()) {
                     return Some(ConnectionEnd::Drain);
                 },
                 () = sleep_until(read_deadline.unwrap_or_else(Instant::now)), if read_deadline.is_some() && !overdue => {
--- a/crates/thrift-proxy/src/front/mod.rs
+++ b/crates/thrift-proxy/src/front/mod.rs
@@ -26,6 +26,8 @@
 const EVICT_IDLE_AFTER: Duration = Duration::from_secs(2);
 /// As [`EVICT_IDLE_AFTER`], for connections on which nothing was ever received.
 const EVICT_NEW_AFTER: Duration = Duration::from_millis(10);
+/// As [`EVICT_IDLE_AFTER`], for silence in the middle of a message. Messages may come in pieces.
+const EVICT_PARTIAL_AFTER: Duration = Duration::from_millis(400);
 /// Interval between attempts to evict a connection while waiting for a slot.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(5);
 /// Delay before the next `accept` after a failed one.
@@ -70,11 +72,14 @@
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         let mut closing = self.closing.clone();
         loop {
-            let permit = self.acquire_slot().await;
             tokio::select! {
                 biased; // Connections already in the accept queue may carry calls.
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => self.clone().spawn_connection(stream, permit),
+                    // Connections are evicted only for one that waits.
+                    Ok((stream, _)) => {
+                        let permit = self.acquire_slot().await;
+                        self.clone().spawn_connection(stream, permit);
+                    }
                     Err(error) => {
                         self.host.log(format_args!("accept: {error}"));
                         sleep(ACCEPT_PAUSE).await;
@@ -90,20 +95,20 @@
         let _ = self.slots.acquire_many(self.settings.settings.connections).await;
     }
 
-    /// Acquires a connection slot. While none is free, evicts the connection that has been idle the longest.
+    /// Acquires a connection slot. While none is free, evicts connections one by one.
     async fn acquire_slot(&self) -> OwnedSemaphorePermit {
         loop {
             if let Ok(Ok(permit)) = timeout(EVICTION_INTERVAL, self.slots.clone().acquire_owned()).await {
                 return permit;
             }
-            self.evict_longest_idle();
+            self.evict_client();
         }
     }
 
-    fn evict_longest_idle(&self) {
+    fn evict_client(&self) {
         let clients = self.clients.borrow();
         let evictable = clients.values().filter(|client| client.is_evictable());
-        if let Some(client) = evictable.min_by_key(|client| client.idle_since()) {
+        if let Some(client) = evictable.min_by_key(|client| client.eviction_order()) {
             client.evict();
         }
     }
--- a/node/tests/thrift.rs
+++ b/node/tests/thrift.rs
@@ -715,6 +715,32 @@
     assert_eq!(next(&mut client).await.text, "done");
 }
 
+/// Guards against clients that stop in the middle of a call and hold all slots for as long as a call may take to arrive.
+#[tokio::test]
+async fn clients_that_stop_in_a_call_block_no_other_client() {
+    let server = Peer::new().await;
+    let thrift_node = ThriftNode::new(&[("s", &server)], "connections = 4").await;
+    let mut stopped = Vec::new();
+    for _ in 0..6 {
+        let mut client = thrift_node.client().await;
+        client.write_bytes(&call("buy", 1, "order")[..20]).await;
+        stopped.push(client);
+    }
+    let answering = async {
+        let mut client = thrift_node.client().await;
+        client.write_bytes(&call("buy", 1, "order")).await;
+        let mut wire = server.accept().await;
+        let got = next(&mut wire).await;
+        wire.write_bytes(&reply("buy", got.seqid, "done")).await;
+        assert_eq!(next(&mut client).await.text, "done");
+    };
+    // A client that waits for 900 ms is owed its answer half a second later at the latest.
+    tokio::time::timeout(Duration::from_millis(1400), answering).await.expect("an answer in time");
+    for mut client in stopped {
+        client.expect_closed().await;
+    }
+}
+
 /// A reply whose struct holds the utilization in field 0 and outstanding requests in field 1.
 fn load_reply(name: &str, seqid: i32, busy: f64) -> Vec<u8> {
     let mut out = vec![0; frame::HEADER_LEN];
