Client: gate's side in a module of its own; more input keeps an abandoned body

On reading the change again: input that arrived between the decision to give a body up and its answer kept the request only while it was unread, not once hyper had read it.

Change: front/client/gate_handler.rs; received() withdraws the decision, with a step in the test of it; call_on_new_connection in the Thrift tests.

--- a/crates/http/src/front/client.rs
+++ b/crates/http/src/front/client.rs
@@ -1,8 +1,10 @@
 //! The state of one client connection: what it is waiting for, which responses are owed, and what its gate may read.
 
+mod gate_handler;
+
 use super::eviction::Activity;
 use super::input_progress::InputProgress;
-use crate::gate::{self, Expected, GateHandler, Head, ReadMode, Rejection};
+use crate::gate::Rejection;
 use birchswitch_host::socket::{self, is_open_and_idle};
 use hyper::StatusCode;
 use std::cell::Cell;
@@ -219,7 +221,7 @@
     pub(super) async fn body_abandoned(&self) {
         loop {
             self.abandonment.notified().await;
-            // The flag is not set if the notification was for an earlier body.
+            // The flag is not set if more has been received since the notification, or if that was for an earlier body.
             if self.body_abandoned.get() && self.is_body_missing() && is_open_and_idle(&self.socket) {
                 return;
             }
@@ -323,74 +325,5 @@
     }
 }
 
-impl GateHandler for Rc<Client> {
-    const BETWEEN_MESSAGES: Expected = Expected::Head;
-
-    fn parse_head(&self, bytes: &[u8]) -> Result<Option<Head>, Rejection> {
-        gate::parse_request_head(bytes)
-    }
-
-    fn reject(&self, rejection: Rejection) -> std::io::Result<&'static [u8]> {
-        self.rejection.set(Some(rejection));
-        Ok(b"TURNED-DOWN / HTTP/1.1\r\n\r\n")
-    }
-
-    fn head_started(&self) -> Result<(), Rejection> {
-        match self.state.get() {
-            // The time limit of the first head counts from the acceptance.
-            State::New => self.state.set(State::ReadingHead),
-            State::Idle => self.enter(State::ReadingHead),
-            // The connection was silent, and its request arrived just as it was about to close.
-            State::Closing if self.silent_before_close.get().is_some() => self.enter(State::ReadingHead),
-            State::HeadTimedOut => return Err((StatusCode::REQUEST_TIMEOUT, "the head took too long")),
-            State::ReadingHead
-            | State::ReadingBody
-            | State::Processing
-            | State::Streaming
-            | State::Closing => return Ok(()),
-        }
-        self.input.start(Instant::now());
-        Ok(())
-    }
-
-    fn read_mode(&self) -> ReadMode {
-        let processing = self.requests.get() > self.responses.get();
-        match processing {
-            _ if self.last_response.get() => ReadMode::Stopped,
-            true if self.finishing.get() => ReadMode::Stopped,
-            true => ReadMode::Buffer,
-            false if self.finishing.get() => ReadMode::Drain,
-            false => ReadMode::Forward,
-        }
-    }
-
-    fn received(&self, bytes: usize) {
-        self.input.received(bytes, Instant::now());
-    }
-
-    fn message_received(&self) {
-        self.input.set_complete();
-    }
-
-    fn message_complete(&self, arrived: Instant) {
-        self.input.passed_on(self.read_ahead.get());
-        self.requests.set(self.requests.get() + 1);
-        self.last_byte.set(Some(arrived));
-    }
-
-    fn buffered_ahead(&self, bytes: usize) {
-        self.read_ahead.set(bytes);
-    }
-
-    fn buffer_full(&self) {
-        self.set_eof_undetectable();
-    }
-
-    fn peer_closed(&self) {
-        self.peer_closed.set(true);
-        self.disconnect.notify_one();
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/http/src/front/client/tests.rs
+++ b/crates/http/src/front/client/tests.rs
@@ -1,6 +1,7 @@
 //! Input that arrives at the moment when a connection is about to be closed for inactivity.
 
-use super::{Client, GateHandler, State, BODY_TIMEOUT, HEAD_TIMEOUT, IDLE_TIMEOUT};
+use super::{Client, State, BODY_TIMEOUT, HEAD_TIMEOUT, IDLE_TIMEOUT};
+use crate::gate::GateHandler;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -77,6 +78,10 @@
     assert!(!client.has_abandoned_body());
     client.socket.try_read(&mut [0]).expect("the byte");
     client.evict();
+    client.received(1);
+    let abandoned = async { tokio::time::timeout(Duration::from_millis(20), client.body_abandoned()).await };
+    assert!(abandoned.await.is_err(), "the body goes on");
+    client.evict();
     client.body_abandoned().await;
     assert!(client.has_abandoned_body());
 }
--- a/crates/http/src/front/response.rs
+++ b/crates/http/src/front/response.rs
@@ -182,9 +182,9 @@
 }
 
 /// Waits for the answer to a request whose body is still being received. Its timeout starts with the last byte, and
-/// ends at once when the upload stalls or is abandoned. A client that closes its sending side has gone, whether or not the body was
-/// read completely. While no attempt reads the body, some of it is read ahead, so that the end of the connection is
-/// noticed.
+/// ends at once when the upload stalls or is abandoned. A client that closes its sending side has gone, whether or not
+/// the body was read completely. While no attempt reads the body, some of it is read ahead, so that the end of the
+/// connection is noticed.
 async fn wait_for_upload_answer(
     pending: &mut PendingRequest<HttpUpstream>,
     client: &Client,
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -257,8 +257,8 @@
                 (OutgoingBody::Whole(Some(bytes.clone())), left)
             }
             RequestBody::Streamed(upload) => {
-                // The body can't be sent from the start any more: the attempt ends as not sent.
                 let held = complete_by.and_then(|at| connection.hold(at));
+                // The body can't be sent from the start any more: the attempt ends as not sent.
                 let Some(reader) = upload.new_reader(Box::new(handle.last_byte_permit()), held) else {
                     handle.finish(AttemptResult::from_outcome(Outcome::NotSent));
                     return self.pool.give_back(&server, connection);
--- a/node/tests/thrift.rs
+++ b/node/tests/thrift.rs
@@ -132,6 +132,16 @@
     }
 }
 
+/// Connects a client, and has its call answered.
+async fn call_on_new_connection(thrift_node: &ThriftNode, server: &Peer) {
+    let mut client = thrift_node.client().await;
+    client.write_bytes(&call("buy", 1, "order")).await;
+    let mut wire = server.accept().await;
+    let got = next(&mut wire).await;
+    wire.write_bytes(&reply("buy", got.seqid, "done")).await;
+    assert_eq!(next(&mut client).await.text, "done");
+}
+
 /// The server that is called, and the other one.
 async fn accept_call<'a>(one: &'a Peer, two: &'a Peer) -> (Connection, &'a Peer) {
     tokio::select! {
@@ -707,12 +717,7 @@
     for _ in 0..12 {
         idle_clients.push(thrift_node.client().await);
     }
-    let mut client = thrift_node.client().await;
-    client.write_bytes(&call("buy", 1, "order")).await;
-    let mut wire = server.accept().await;
-    let got = next(&mut wire).await;
-    wire.write_bytes(&reply("buy", got.seqid, "done")).await;
-    assert_eq!(next(&mut client).await.text, "done");
+    call_on_new_connection(&thrift_node, &server).await;
 }
 
 /// Guards against clients that stop in the middle of a call and hold all slots for as long as a call may take to arrive.
@@ -726,14 +731,7 @@
         client.write_bytes(&call("buy", 1, "order")[..20]).await;
         stopped.push(client);
     }
-    let answering = async {
-        let mut client = thrift_node.client().await;
-        client.write_bytes(&call("buy", 1, "order")).await;
-        let mut wire = server.accept().await;
-        let got = next(&mut wire).await;
-        wire.write_bytes(&reply("buy", got.seqid, "done")).await;
-        assert_eq!(next(&mut client).await.text, "done");
-    };
+    let answering = call_on_new_connection(&thrift_node, &server);
     // A client that waits for 900 ms is owed its answer half a second later at the latest.
     tokio::time::timeout(Duration::from_millis(1400), answering).await.expect("an answer in time");
     for mut client in stopped {
