Clients that lag behind the minimum rate make room, in bodies of every framing

The errors of stopped chunked bodies came after 6 to 12 s, and 3 s are owed. Thrift: one incomplete call gave way every 0.3 s.

Cause: a chunked body over 64 KiB was never given up, since its end might have been unparsed; a client counted as stopped only if it was silent; an evicted Thrift connection lingered, and was chosen again meanwhile in place of the next.

Change: the gate tells when it awaits more of a body: then hyper has parsed all that came, in either framing, and the last byte has not come. host/input_progress.rs measures the lag: time spent awaiting, less the time that the bytes may take at 32 KiB/s, without credit for what came faster. 0.4 s of it, and twice the longest pause, make a body evictable. Thrift uses the same, and closes evicted connections at once. An upload below the rate is told to close, and its server is not held to blame.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -9,7 +9,8 @@
 //!
 //! Modules: `lists` applies lists of servers, `requests` submits clients' requests, `commands` runs the
 //! engine's commands, `handles` holds what protocols use to report back, `pool` keeps connections to servers;
-//! `delivery` holds a request's last byte back until it would reach its server in time;
+//! `delivery` holds a request's last byte back until it would reach its server in time, `input_progress` tells how a
+//! message arrives from a client;
 //! `admission`, `health` and `observations` connect the fleet-wide parts.
 
 #![deny(unsafe_code)]
@@ -21,6 +22,7 @@
 pub mod delivery;
 mod handles;
 mod health;
+pub mod input_progress;
 mod lists;
 mod observations;
 pub mod pool;
--- a/crates/http/src/body/mod.rs
+++ b/crates/http/src/body/mod.rs
@@ -17,6 +17,7 @@
 mod streamed;
 mod upload;
 
+use birchswitch_host::input_progress::MIN_RATE;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 pub use prefix::BodyPrefix;
@@ -33,9 +34,7 @@
 pub const WHOLE_BODY_LIMIT: usize = 64 << 10;
 /// Maximum size of a request or response body.
 pub const MAX_BODY: u64 = 40 << 20;
-/// Minimum rate in bytes per second at which a request body has to arrive ...
-pub const MIN_RATE: f64 = 32.0 * 1024.0;
-/// ... after this time, during which a slower or stalled sender is tolerated.
+/// Time during which a body may arrive at less than [`MIN_RATE`].
 const MIN_RATE_GRACE: Duration = Duration::from_millis(2500);
 /// Why a body ended before it was complete.
 #[derive(Debug, thiserror::Error)]
--- a/crates/http/src/front/client.rs
+++ b/crates/http/src/front/client.rs
@@ -3,8 +3,8 @@
 mod gate_handler;
 
 use super::eviction::Activity;
-use super::input_progress::InputProgress;
 use crate::gate::Rejection;
+use birchswitch_host::input_progress::InputProgress;
 use birchswitch_host::socket::{self, is_open_and_idle};
 use hyper::StatusCode;
 use std::cell::Cell;
@@ -53,8 +53,6 @@
     input: InputProgress,
     /// The rest of the current body is not waited for any longer.
     body_abandoned: Cell<bool>,
-    /// The end of the current body is noticed as soon as it has arrived.
-    body_end_detectable: Cell<bool>,
     abandonment: Notify,
     /// The client has closed its sending side.
     peer_closed: Cell<bool>,
@@ -100,9 +98,8 @@
             read_ahead: Cell::new(0),
             eof_undetectable: Cell::new(false),
             silent_before_close: Cell::new(None),
-            input: InputProgress::new(Instant::now()),
+            input: InputProgress::default(),
             body_abandoned: Cell::new(false),
-            body_end_detectable: Cell::new(false),
             abandonment: Notify::new(),
             peer_closed: Cell::new(false),
             disconnect: Notify::new(),
@@ -167,11 +164,7 @@
             State::New => Activity::New(age),
             State::ReadingHead => Activity::Head(age),
             State::Idle => Activity::Idle(age),
-            State::ReadingBody if !self.body_abandoned.get() && self.is_body_missing() => Activity::Body {
-                silence: self.input.silence(now),
-                behind: self.input.is_behind(now),
-                longest_pause: self.input.longest_pause(),
-            },
+            State::ReadingBody if !self.body_abandoned.get() => Activity::Body(self.input.lag(now)?),
             State::HeadTimedOut
             | State::ReadingBody
             | State::Processing
@@ -201,9 +194,9 @@
         head_abandoned || self.has_abandoned_body()
     }
 
-    /// Whether the rest of the current body has surely not arrived, as far as it was read.
-    fn is_body_missing(&self) -> bool {
-        self.body_end_detectable.get() && !self.input.is_complete()
+    /// Whether more of the current body is awaited and none of it has arrived.
+    pub(super) fn is_body_missing(&self) -> bool {
+        self.input.is_awaited() && is_open_and_idle(&self.socket)
     }
 
     fn abandon_body(&self) {
@@ -222,19 +215,16 @@
         loop {
             self.abandonment.notified().await;
             // The flag is not set if more has been received since the notification, or if that was for an earlier body.
-            if self.body_abandoned.get() && self.is_body_missing() && is_open_and_idle(&self.socket) {
+            if self.body_abandoned.get() && self.is_body_missing() {
                 return;
             }
             self.body_abandoned.set(false);
         }
     }
 
-    /// Records that a body is being received, and whether its end is noticed as soon as it has arrived.
-    pub(super) fn receive_body(&self, end_detectable: bool) {
-        self.body_end_detectable.set(end_detectable);
-        if self.state.get() != State::ReadingBody {
-            self.enter(State::ReadingBody);
-        }
+    /// Records that a body is being received.
+    pub(super) fn receive_body(&self) {
+        self.enter(State::ReadingBody);
     }
 
     /// Records that the current body was received completely.
@@ -278,11 +268,7 @@
             State::New if age >= HEAD_TIMEOUT && is_open_and_idle(&self.socket) => self.request_close(),
             State::Streaming if age >= WRITE_TIMEOUT => self.request_close(),
             State::Idle if age >= IDLE_TIMEOUT && is_open_and_idle(&self.socket) => self.request_close(),
-            State::ReadingBody
-                if self.input.silence(now) >= BODY_TIMEOUT
-                    && self.is_body_missing()
-                    && is_open_and_idle(&self.socket) =>
-            {
+            State::ReadingBody if self.input.pause(now) >= BODY_TIMEOUT && self.is_body_missing() => {
                 self.abandon_body();
             }
             State::ReadingHead if age >= HEAD_TIMEOUT => self.abandon_head(),
--- a/crates/http/src/front/client/gate_handler.rs
+++ b/crates/http/src/front/client/gate_handler.rs
@@ -32,7 +32,7 @@
             | State::Streaming
             | State::Closing => return Ok(()),
         }
-        self.input.start(Instant::now());
+        self.input.start();
         Ok(())
     }
 
@@ -52,12 +52,11 @@
         self.body_abandoned.set(false);
     }
 
-    fn message_received(&self) {
-        self.input.set_complete();
+    fn body_awaited(&self) {
+        self.input.set_awaited(Instant::now());
     }
 
     fn message_complete(&self, arrived: Instant) {
-        self.input.passed_on(self.read_ahead.get());
         self.requests.set(self.requests.get() + 1);
         self.last_byte.set(Some(arrived));
     }
--- a/crates/http/src/front/client/tests.rs
+++ b/crates/http/src/front/client/tests.rs
@@ -70,7 +70,8 @@
 async fn input_after_the_decision_to_abandon_a_body_keeps_it() {
     let (client, mut peer) = connection().await;
     client.head_started().expect("the head is accepted");
-    client.receive_body(true);
+    client.receive_body();
+    client.body_awaited();
     client.evict();
     send_unread_byte(&client, &mut peer).await;
     let abandoned = async { tokio::time::timeout(Duration::from_millis(20), client.body_abandoned()).await };
@@ -79,6 +80,7 @@
     client.socket.try_read(&mut [0]).expect("the byte");
     client.evict();
     client.received(1);
+    client.body_awaited();
     let abandoned = async { tokio::time::timeout(Duration::from_millis(20), client.body_abandoned()).await };
     assert!(abandoned.await.is_err(), "the body goes on");
     client.evict();
@@ -91,9 +93,10 @@
 async fn a_complete_body_is_not_evictable() {
     let (client, _peer) = connection().await;
     client.head_started().expect("the head is accepted");
-    client.receive_body(true);
+    client.receive_body();
+    client.body_awaited();
     assert!(client.evictable_activity(Instant::now()).is_some());
-    client.message_received();
+    client.received(1);
     assert_eq!(client.evictable_activity(Instant::now()), None);
     client.check_timeouts(Instant::now() + BODY_TIMEOUT);
     assert!(!client.has_abandoned_body());
--- a/crates/http/src/front/mod.rs
+++ b/crates/http/src/front/mod.rs
@@ -1,13 +1,12 @@
 //! The client side: accepts connections, validates requests, and writes the final responses.
 //!
 //! [`HttpFrontend`] accepts connections and makes room for them as `eviction` says; `connection` serves one connection, whose
-//! state `client` and `input_progress` track; `response` handles one request, whose head `request_head` parses;
+//! state `client` tracks; `response` handles one request, whose head `request_head` parses;
 //! `tracked_body` sends the response body.
 
 mod client;
 mod connection;
 mod eviction;
-mod input_progress;
 mod request_head;
 mod response;
 mod tracked_body;
--- a/crates/http/src/front/response.rs
+++ b/crates/http/src/front/response.rs
@@ -10,7 +10,7 @@
 use birchswitch_host::{socket, PendingRequest, Request as Submission};
 use bytes::Bytes;
 use finchvale::Time;
-use hyper::body::{Body as _, Incoming as Body};
+use hyper::body::Incoming as Body;
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use std::rc::Rc;
@@ -49,15 +49,13 @@
             Ok(head) => head,
             Err((status, why)) => return rejection_response(status, why),
         };
-        client.receive_body(true);
+        client.receive_body();
         let prefix = match self.read_body(client, &mut body, received).await {
             Ok(prefix) => prefix,
             Err((status, why)) => return rejection_response(status, why),
         };
-        match prefix.complete {
-            true => client.body_received(),
-            // A server that reads slowly may leave the end of a chunked body unparsed.
-            false => client.receive_body(body.size_hint().exact().is_some()),
+        if prefix.complete {
+            client.body_received();
         }
         if client.is_disconnected().await {
             return plain(StatusCode::SERVICE_UNAVAILABLE, "nobody waits for the answer");
@@ -106,7 +104,7 @@
             None => wait_for_answer(&mut pending, client).await,
             Some(upload) => {
                 let answer = wait_for_upload_answer(&mut pending, client, &upload, deadlines).await;
-                if client.has_abandoned_body() {
+                if client.has_abandoned_body() || upload.is_stalled() {
                     return closing(into_response(answer, pending.rejection_message()));
                 }
                 // A client may read the response only after it has written everything.
@@ -211,6 +209,10 @@
             }
             () = tokio::time::sleep(UPLOAD_CHECK_INTERVAL), if receiving => {
                 if upload.is_stalled() {
+                    if client.is_body_missing() {
+                        break;
+                    }
+                    // The server is too slow.
                     receiving = false;
                     pending.set_deadlines(Instant::now(), Instant::now());
                 }
--- a/crates/http/src/gate/mod.rs
+++ b/crates/http/src/gate/mod.rs
@@ -95,8 +95,8 @@
     }
     /// This many bytes were received.
     fn received(&self, _bytes: usize) {}
-    /// The last byte of the current message was received, though it may not have been forwarded yet.
-    fn message_received(&self) {}
+    /// More of the current body is awaited: everything that was received of it has been forwarded.
+    fn body_awaited(&self) {}
     /// A message was forwarded completely; its last byte was received at `_arrived`.
     fn message_complete(&self, _arrived: Instant) {}
     /// This many bytes are buffered behind the message being processed.
@@ -179,14 +179,6 @@
         }
     }
 
-    /// Tells the handler if the buffer holds the rest of the current message.
-    fn check_message_received(&self) {
-        let buffered = (self.buffer.len() - self.forwardable) as u64;
-        if matches!(self.expected, Expected::Body(left) if left <= buffered) {
-            self.handler.message_received();
-        }
-    }
-
     /// Completes a message whose last byte was received at `arrived`.
     fn finish_message(&mut self, arrived: Instant) {
         self.expected = H::BETWEEN_MESSAGES;
@@ -235,7 +227,6 @@
         match self.handler.parse_head(&self.buffer)? {
             Some(head) if self.interim_bytes + head.length <= MAX_HEAD => {
                 (self.forwardable, self.expected) = (head.length, head.next);
-                self.check_message_received();
                 self.interim_bytes =
                     if head.next == Expected::Head { self.interim_bytes + head.length } else { 0 };
                 Ok(true)
@@ -277,10 +268,13 @@
                     },
                 },
                 Expected::Body(_) | Expected::Chunked if me.buffer.is_empty() => {
-                    if ready!(me.fill_buffer(cx))? == 0 {
+                    let filled = me.fill_buffer(cx)?;
+                    if filled.is_pending() {
+                        me.handler.body_awaited();
+                    }
+                    if ready!(filled) == 0 {
                         return Poll::Ready(Ok(()));
                     }
-                    me.check_message_received();
                 }
                 Expected::Body(left) => {
                     me.forwardable = me.buffer.len().min(usize::try_from(left).unwrap_or(usize::MAX));
--- a/crates/standin/src/scripted/connection.rs
+++ b/crates/standin/src/scripted/connection.rs
@@ -198,6 +198,13 @@
         let _ = within("writing", self.0.get_mut().write_all(text.as_bytes())).await;
     }
 
+    /// Writes text again and again, with pauses, until the peer sends something or closes.
+    pub async fn trickle(&mut self, text: &str, pause: Duration) {
+        while tokio::time::timeout(pause, self.0.get_ref().readable()).await.is_err() {
+            self.write_until_closed(text).await;
+        }
+    }
+
     /// Waits until the peer closes the connection and discards what it still sends.
     pub async fn wait_closed(&mut self) {
         self.read_to_end().await;
--- a/crates/thrift-proxy/src/front/connection.rs
+++ b/crates/thrift-proxy/src/front/connection.rs
@@ -1,11 +1,13 @@
 //! One client connection: reads its calls in order and writes their replies as they arrive.
 
 use super::call::{AcceptedCall, Rejection};
-use super::{ThriftFrontend, EVICT_IDLE_AFTER, EVICT_NEW_AFTER, EVICT_PARTIAL_AFTER};
+use super::{ThriftFrontend, EVICT_IDLE_AFTER, EVICT_NEW_AFTER};
 use crate::decoder::MessageDecoder;
+use birchswitch_host::input_progress::InputProgress;
 use birchswitch_host::socket::{is_open_and_idle, linger, wait_read_closed};
 use rustc_hash::FxHashSet;
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,8 +36,8 @@
     idle_since: Cell<Option<Instant>>,
     /// Whether at least one message was received.
     has_sent: Cell<bool>,
-    /// When the latest bytes of an incomplete message were received.
-    partial_since: Cell<Option<Instant>>,
+    /// How an incomplete message arrives. Nothing is awaited between messages.
+    input: InputProgress,
     evicted: Notify,
 }
 
@@ -45,25 +47,41 @@
             id,
             idle_since: Cell::new(Some(Instant::now())),
             has_sent: Cell::new(false),
-            partial_since: Cell::new(None),
+            input: InputProgress::default(),
             evicted: Notify::new(),
         })
     }
 
-    /// The order of eviction: connections without an incomplete message first, then the longest idle.
-    pub(super) fn eviction_order(&self) -> (bool, Option<Instant>) {
-        (self.partial_since.get().is_some(), self.partial_since.get().or(self.idle_since.get()))
+    /// The order of eviction: connections without an incomplete message first, then the longest unproductive.
+    pub(super) fn eviction_order(&self, now: Instant) -> (bool, Reverse<Duration>) {
+        match self.input.lag(now) {
+            Some(lag) => (true, Reverse(lag.behind)),
+            None => (false, Reverse(self.idle_time(now).unwrap_or_default())),
+        }
+    }
+
+    /// Whether the connection may be evicted in favour of a new one: no call is in flight, and what it sends of one lags
+    /// too far behind, or nothing was received for long enough.
+    pub(super) fn is_evictable(&self, now: Instant) -> bool {
+        let Some(idle_time) = self.idle_time(now) else { return false };
+        match (self.input.lag(now), self.has_sent.get()) {
+            (Some(lag), _) => lag.is_excessive(),
+            (None, true) => idle_time >= EVICT_IDLE_AFTER,
+            (None, false) => idle_time >= EVICT_NEW_AFTER,
+        }
+    }
+
+    /// The time since the last call in flight ended; `None` while calls are in flight.
+    fn idle_time(&self, now: Instant) -> Option<Duration> {
+        self.idle_since.get().map(|since| now.saturating_duration_since(since))
     }
 
-    /// Whether the connection may be evicted in favour of a new one: no call is in flight, and nothing was received for
-    /// long enough.
-    pub(super) fn is_evictable(&self) -> bool {
-        let Some(idle_since) = self.idle_since.get() else { return false };
-        match (self.partial_since.get(), self.has_sent.get()) {
-            (Some(since), _) => since.elapsed() >= EVICT_PARTIAL_AFTER,
-            (None, true) => idle_since.elapsed() >= EVICT_IDLE_AFTER,
-            (None, false) => idle_since.elapsed() >= EVICT_NEW_AFTER,
+    /// Records that more of a message is awaited, whose first bytes have just been received if it is `new`.
+    fn await_message(&self, new: bool) {
+        if new {
+            self.input.start();
         }
+        self.input.set_awaited(Instant::now());
     }
 
     /// Requests that the connection be closed, unless bytes have arrived on it.
@@ -112,6 +130,8 @@
     Drain,
     /// Immediately, since the client has disconnected or accepts no replies.
     Abandoned,
+    /// Without waiting for the client: no call is in flight, and another client needs the slot.
+    Evicted,
 }
 
 impl ThriftFrontend {
@@ -133,6 +153,10 @@
                 let _ = writer.await;
                 linger(read_half.as_ref()).await;
             }
+            ConnectionEnd::Evicted => {
+                drop(replies);
+                let _ = writer.await;
+            }
             // Aborting a call's task tells the engine that the client has disconnected.
             ConnectionEnd::Abandoned => {
                 calls.abort_all();
@@ -158,9 +182,12 @@
             let bytes = match decoder.next_message() {
                 Ok(Some(bytes)) => bytes,
                 Ok(None) => {
-                    message_started =
-                        (!decoder.is_empty()).then(|| message_started.unwrap_or_else(Instant::now));
-                    client.partial_since.set(message_started.map(|_| Instant::now()));
+                    if decoder.is_empty() {
+                        message_started = None;
+                    } else {
+                        client.await_message(message_started.is_none());
+                        message_started = message_started.or(Some(Instant::now()));
+                    }
                     if let Some(end) = self.read_more(read_half, &mut decoder, client, message_started).await
                     {
                         return end;
@@ -176,7 +203,6 @@
                 }
             };
             message_started = None;
-            client.partial_since.set(None);
             client.has_sent.set(true);
             let Some(dialect) = decoder.dialect() else { return ConnectionEnd::Drain };
             let (header, options) = match self.read_call(dialect, &bytes) {
@@ -284,13 +310,16 @@
                 ready = read_half.readable() => {
                     match ready.and_then(|()| read_half.try_read_buf(decoder.read_buffer())) {
                         Ok(0) => return Some(ConnectionEnd::Abandoned),
-                        Ok(_) => return None,
+                        Ok(received) => {
+                            client.input.received(received, Instant::now());
+                            return None;
+                        }
                         Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                         Err(_) => return Some(ConnectionEnd::Abandoned),
                     }
                 }
-                () = client.evicted.notified() => if client.is_evictable() && is_open_and_idle(read_half.as_ref()) {
-                    return Some(ConnectionEnd::Drain);
+                () = client.evicted.notified() => if client.is_evictable(Instant::now()) && is_open_and_idle(read_half.as_ref()) {
+                    return Some(ConnectionEnd::Evicted);
                 },
                 () = sleep_until(read_deadline.unwrap_or_else(Instant::now)), if read_deadline.is_some() && !overdue => {
                     overdue = true;
--- a/crates/thrift-proxy/src/front/mod.rs
+++ b/crates/thrift-proxy/src/front/mod.rs
@@ -20,14 +20,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// If no connection slot is free, connections idle for at least this long may be evicted.
 const EVICT_IDLE_AFTER: Duration = Duration::from_secs(2);
 /// As [`EVICT_IDLE_AFTER`], for connections on which nothing was ever received.
 const EVICT_NEW_AFTER: Duration = Duration::from_millis(10);
-/// As [`EVICT_IDLE_AFTER`], for silence in the middle of a message. Messages may come in pieces.
-const EVICT_PARTIAL_AFTER: Duration = Duration::from_millis(400);
 /// Interval between attempts to evict a connection while waiting for a slot.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(5);
 /// Delay before the next `accept` after a failed one.
@@ -107,8 +105,9 @@
 
     fn evict_client(&self) {
         let clients = self.clients.borrow();
-        let evictable = clients.values().filter(|client| client.is_evictable());
-        if let Some(client) = evictable.min_by_key(|client| client.eviction_order()) {
+        let now = Instant::now();
+        let evictable = clients.values().filter(|client| client.is_evictable(now));
+        if let Some(client) = evictable.min_by_key(|client| client.eviction_order(now)) {
             client.evict();
         }
     }
--- a/node/tests/client_slots.rs
+++ b/node/tests/client_slots.rs
@@ -15,7 +15,7 @@
     loop {
         let mut connection = server.accept().await;
         connections.spawn(async move {
-            while connection.read().await.is_some() {
+            while connection.read_chunked().await.is_some() {
                 connection.answer("200 OK", "", "served").await;
             }
         });
@@ -53,11 +53,8 @@
     move |n| head(&format!("stopped{n}"), length) + &"x".repeat(part)
 }
 
-/// Guards against clients that stop in the middle of a request and hold all slots, so that others are neither accepted nor
-/// answered in their time. Those that stop get an error in words.
-async fn stopped_clients_displace_no_request(sockets: u32, part: impl Fn(u32) -> String) {
-    let (node, _discovery) = node_with_sockets(sockets).await;
-    let stopped = stopped_clients(&node, sockets, part).await;
+/// Checks that other clients are answered in their time.
+async fn check_others_are_answered(node: &Node, sockets: u32) {
     for n in 0..10 {
         let mut client = node.client().await;
         client.write(&head(&format!("r{n}"), 0)).await;
@@ -66,10 +63,23 @@
         assert!(answer.is_some(), "{sockets} descriptors: closed without an answer to r{n}");
         sleep(Duration::from_millis(50)).await;
     }
+}
+
+/// Checks that a client gets an error in words.
+async fn check_error(client: &mut Connection) {
+    let answer = client.read().await.expect("an error in words");
+    assert!(matches!(answer.status(), 408 | 503), "{}", answer.start);
+    assert_eq!(answer.header("connection"), Some("close"));
+}
+
+/// Guards against clients that stop in the middle of a request and hold all slots, so that others are neither accepted nor
+/// answered in their time. Those that stop get an error in words.
+async fn stopped_clients_displace_no_request(sockets: u32, part: impl Fn(u32) -> String) {
+    let (node, _discovery) = node_with_sockets(sockets).await;
+    let stopped = stopped_clients(&node, sockets, part).await;
+    check_others_are_answered(&node, sockets).await;
     for mut client in stopped {
-        let answer = client.read().await.expect("an error in words");
-        assert!(matches!(answer.status(), 408 | 503), "{}", answer.start);
-        assert_eq!(answer.header("connection"), Some("close"));
+        check_error(&mut client).await;
     }
 }
 
@@ -89,6 +99,39 @@
     }
 }
 
+/// The first 100 kB of a body whose length is not known, and a part of its next chunk.
+fn part_of_chunked_body(n: u32) -> String {
+    let head = head(&format!("stopped{n}"), 0).replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    format!("{head}{:x}\r\n{}\r\n100\r\nhalf of it", 100_000, "x".repeat(100_000))
+}
+
+#[tokio::test]
+async fn clients_that_stop_in_a_large_chunked_body_displace_no_request() {
+    for sockets in [64, 128, 1024] {
+        stopped_clients_displace_no_request(sockets, part_of_chunked_body).await;
+    }
+}
+
+/// Guards against clients that hold all slots by sending a byte now and then: some from the start, others after a part of
+/// their body, which is still more than the minimum rate in the mean.
+#[tokio::test]
+async fn clients_below_the_minimum_rate_displace_no_request() {
+    for (length, part) in [(60_000, 0), (60_000, 20_000), (300_000, 100_000)] {
+        let (node, _discovery) = node_with_sockets(128).await;
+        let mut trickling = JoinSet::new();
+        for mut client in stopped_clients(&node, 128, part_of_body(length, part)).await {
+            trickling.spawn(async move {
+                client.trickle("x", Duration::from_millis(100)).await;
+                check_error(&mut client).await;
+            });
+        }
+        check_others_are_answered(&node, 128).await;
+        while let Some(checked) = trickling.join_next().await {
+            checked.unwrap_or_else(|error| panic!("{part} of {length} bytes: {error}"));
+        }
+    }
+}
+
 #[tokio::test]
 async fn clients_that_stop_in_a_small_body_displace_no_request() {
     for sockets in [64, 128, 1024] {
@@ -114,14 +157,14 @@
 #[tokio::test]
 async fn a_client_that_stops_gets_its_error_within_three_seconds() {
     let (node, _discovery) = node_with_sockets(1024).await;
-    for (length, part) in [(60_000, 50_000), (2_000_000, 1_000_000)] {
+    let parts =
+        [part_of_body(60_000, 50_000)(0), part_of_body(2_000_000, 1_000_000)(1), part_of_chunked_body(2)];
+    for part in parts {
         let mut client = node.client().await;
-        client.write(&head(&format!("stopped{part}"), length)).await;
-        client.write(&"x".repeat(part)).await;
+        client.write(&part).await;
         let stopped = Instant::now();
-        let answer = client.read().await.expect("an error");
-        assert!(matches!(answer.status(), 408 | 503), "{}", answer.start);
-        assert!(stopped.elapsed() < Duration::from_secs(3), "{part} bytes: {:?}", stopped.elapsed());
+        check_error(&mut client).await;
+        assert!(stopped.elapsed() < Duration::from_secs(3), "{} bytes: {:?}", part.len(), stopped.elapsed());
         client.wait_closed().await;
     }
 }
--- a/node/tests/thrift.rs
+++ b/node/tests/thrift.rs
@@ -8,8 +8,14 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+/// A client that waits for 900 ms is owed its answer half a second later at the latest.
+const ANSWER_TIME: Duration = Duration::from_millis(1400);
+/// Slots for clients, where a test fills them.
+const SLOTS: u32 = 4;
+
 /// A message whose struct holds one string in field 1, framed.
 fn message(protocol: Protocol, kind: MessageType, name: &str, seqid: i32, text: &str) -> Vec<u8> {
     fn fill(writer: &mut impl Writer, kind: MessageType, name: &str, seqid: i32, text: &str) {
@@ -731,21 +737,36 @@
 #[tokio::test]
 async fn clients_that_stop_in_a_call_block_no_other_client() {
     let server = Peer::new().await;
-    let thrift_node = ThriftNode::new(&[("s", &server)], "connections = 4").await;
+    let thrift_node = ThriftNode::new(&[("s", &server)], &format!("connections = {SLOTS}")).await;
     let mut stopped = Vec::new();
-    for _ in 0..6 {
+    for _ in 0..2 * SLOTS {
         let mut client = thrift_node.client().await;
         client.write_bytes(&call("buy", 1, "order")[..20]).await;
         stopped.push(client);
     }
     let answering = call_on_new_connection(&thrift_node, &server);
-    // A client that waits for 900 ms is owed its answer half a second later at the latest.
-    tokio::time::timeout(Duration::from_millis(1400), answering).await.expect("an answer in time");
+    tokio::time::timeout(ANSWER_TIME, answering).await.expect("an answer in time");
     for mut client in stopped {
         client.expect_closed().await;
     }
 }
 
+/// Guards against clients that hold all slots by sending a byte of a call now and then.
+#[tokio::test]
+async fn clients_that_send_a_call_too_slowly_block_no_other_client() {
+    let server = Peer::new().await;
+    let thrift_node = ThriftNode::new(&[("s", &server)], &format!("connections = {SLOTS}")).await;
+    let mut slow_clients = JoinSet::new();
+    for _ in 0..2 * SLOTS {
+        let mut client = thrift_node.client().await;
+        client.write_bytes(&call("buy", 1, &"order".repeat(100))[..20]).await;
+        slow_clients.spawn(async move { client.trickle("x", Duration::from_millis(100)).await });
+    }
+    let answering = call_on_new_connection(&thrift_node, &server);
+    tokio::time::timeout(ANSWER_TIME, answering).await.expect("an answer in time");
+    while slow_clients.join_next().await.is_some() {}
+}
+
 /// A reply whose struct holds the utilization in field 0 and outstanding requests in field 1.
 fn load_reply(name: &str, seqid: i32, busy: f64) -> Vec<u8> {
     let mut out = vec![0; frame::HEADER_LEN];
