--- a/node/tests/replay_window.rs
+++ b/node/tests/replay_window.rs
@@ -8,8 +8,8 @@
 
 /// Kept whole by the node, and larger than a small receive buffer of a server.
 const SMALL: usize = 60_000;
-/// Fits into the system's send buffer / does not fit into all of the system's buffers together.
-const SIZES: [usize; 2] = [200_000, 6 << 20];
+/// Fits into the system's send buffer / is too large for it / does not fit into all of the system's buffers together.
+const SIZES: [usize; 3] = [100_000, 200_000, 6 << 20];
 
 fn settings_with_window(window: Duration) -> Value {
     let mut settings = settings();
@@ -39,13 +39,18 @@
     message.map(|message| message.body)
 }
 
+/// Waits for the first attempt at one of two servers, and returns its connection and the other server.
+async fn accept_attempt<'a>(one: &'a Peer, two: &'a Peer) -> (Connection, &'a Peer) {
+    within("a first attempt", async {
+        tokio::select! { wire = one.accept() => (wire, two), wire = two.accept() => (wire, one) }
+    })
+    .await
+}
+
 /// Runs the first attempt of a request: one of two servers reads all of it, and its connection is reset. Returns the other
 /// server's connection.
 async fn run_and_reset(one: &Peer, two: &Peer, chunked: bool) -> Connection {
-    let (mut wire, other) = within("a first attempt", async {
-        tokio::select! { wire = one.accept() => (wire, two), wire = two.accept() => (wire, one) }
-    })
-    .await;
+    let (mut wire, other) = accept_attempt(one, two).await;
     read_body(&mut wire, chunked).await.expect("all of it");
     wire.reset();
     other.accept().await
@@ -56,7 +61,8 @@
 /// count as sent, whether the body is streamed or kept whole.
 #[tokio::test]
 async fn no_last_byte_of_a_repeat_arrives_after_the_window() {
-    for (bytes, chunked) in [SMALL, SIZES[0], SIZES[1]].into_iter().flat_map(|n| [(n, false), (n, true)]) {
+    let sizes = [SMALL].into_iter().chain(SIZES);
+    for (bytes, chunked) in sizes.flat_map(|bytes| [(bytes, false), (bytes, true)]) {
         let window = Duration::from_millis(1500);
         let (one, two) = (Peer::with_small_buffer(), Peer::with_small_buffer());
         let (node, _discovery, _watch) =
@@ -111,7 +117,7 @@
     let (node, _discovery, _watch) =
         Node::serving_with_settings(settings_with_window(window), &[("one", &one), ("two", &two)]).await;
     let mut client = node.client().await;
-    let (request, body) = keyed_request(SIZES[0], false);
+    let (request, body) = keyed_request(SIZES[1], false);
     let slow_client = async {
         client.write(&request[..150_000]).await;
         sleep(window).await;
@@ -122,3 +128,28 @@
     wire.answer("200 OK", "", "run").await;
     assert_eq!(client.read().await.expect("an answer").body, b"run");
 }
+
+/// Guards against counting the window while the first attempt's end still lies in the node's machine: its server can't have
+/// run it before. Both servers read late, together later than the window, and each within it.
+#[tokio::test]
+async fn the_window_does_not_count_while_the_first_attempt_waits_to_be_sent() {
+    let window = Duration::from_millis(1500);
+    let pause = window * 3 / 5;
+    let (one, two) = (Peer::with_small_buffer(), Peer::with_small_buffer());
+    let (node, _discovery, _watch) =
+        Node::serving_with_settings(settings_with_window(window), &[("one", &one), ("two", &two)]).await;
+    let mut client = node.client().await;
+    let (request, body) = keyed_request(1_000_000, false);
+    let slow_server = async {
+        let (mut wire, other) = accept_attempt(&one, &two).await;
+        sleep(pause).await;
+        wire.read().await.expect("all of it");
+        wire.reset();
+        other.accept().await
+    };
+    let ((), mut wire) = tokio::join!(client.write(&request), slow_server);
+    sleep(pause).await;
+    assert_eq!(wire.read().await.expect("a repeat").body, body.as_bytes());
+    wire.answer("200 OK", "", "run").await;
+    assert_eq!(client.read().await.expect("an answer").body, b"run");
+}
