Balancer state and the HTTP upstream in modules of one job each

Change: src/state/{market,rates,request,server}.rs and upstream/{connection, load_report}.rs. Code is moved; the exchange is a method of its connection, and the outcome of a request without a response a function of its own. tests/limits.rs holds every file of src/state to the rule that it uses nothing of the policy.

--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -1,32 +1,23 @@
 //! The server side: pooled connections to servers, and the requests and probes sent over them.
+//!
+//! `connection` is one connection and the exchange of one request for its response; `load_report` parses servers' reports.
 
-use crate::body::{
-    BodyPrefix, BufferBudget, HeldUpload, OutgoingBody, RequestBody, ResponseBody, StreamedBody, UploadEnd,
-};
-use crate::gate::{self, Expected, Gate, GateHandler, Head, Rejection};
-use crate::send_monitor::SendMonitor;
+mod connection;
+mod load_report;
+
+use crate::body::{BufferBudget, OutgoingBody, RequestBody, ResponseBody, StreamedBody};
 use birchswitch_engine::AttemptResult;
-use birchswitch_host::delivery::DeliveryHold;
-use birchswitch_host::pool::{self, NewConnection, Pool, PooledConnection, Server};
+use birchswitch_host::pool::{self, Pool, Server};
 use birchswitch_host::{AttemptHandle, Metrics, ProbeHandle, SendGrant, Upstream};
 use birchswitch_membership::Target;
 use birchswitch_site::{Names, ReportField};
+use connection::{Connection, Exchange};
 use finchvale::{LoadReport, Outcome, ServerId};
-use hyper::body::Incoming;
-use hyper::client::conn::http1;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
-use serde::de::{DeserializeSeed, Deserializer, IgnoredAny, MapAccess, Visitor};
-use std::borrow::Cow;
-use std::cell::Cell;
-use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::task::AbortHandle;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::Instant;
 
 /// How long a connection has to be quiet before it is reused. Surplus bytes after a response that were still in transit
 /// when the connection was returned would otherwise be taken for the response to the next request.
@@ -38,76 +29,6 @@
 /// Maximum size of hyper's buffers for a message that is forwarded.
 pub(crate) const MAX_HYPER_BUFFER: usize = 64 << 10;
 
-/// A connection to a server. Dropping it closes it.
-struct Connection {
-    sender: http1::SendRequest<OutgoingBody>,
-    driver: AbortHandle,
-    monitor: SendMonitor,
-    /// More bytes than the response were received with it.
-    excess: Rc<Cell<bool>>,
-    generation: u64,
-}
-
-impl PooledConnection for Connection {
-    /// Whether the server has neither closed the connection nor sent unsolicited bytes.
-    fn is_usable(&self) -> bool {
-        !self.excess.get() && self.sender.is_ready() && self.monitor.is_open_and_idle()
-    }
-
-    fn generation(&self) -> u64 {
-        self.generation
-    }
-}
-
-impl Connection {
-    /// Holds back the last bytes of an upload that is sent over this connection.
-    fn hold(&self, complete_by: Instant) -> Option<HeldUpload> {
-        let hold = DeliveryHold::new(&*self.monitor.socket()?, complete_by);
-        Some(HeldUpload { monitor: self.monitor.clone(), hold })
-    }
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
-}
-
-/// Checks response heads. An invalid one ends the connection, and with it the attempt.
-struct ResponseHandler {
-    excess: Rc<Cell<bool>>,
-    monitor: SendMonitor,
-}
-
-impl GateHandler for ResponseHandler {
-    const BETWEEN_MESSAGES: Expected = Expected::Nothing;
-
-    fn parse_head(&self, bytes: &[u8]) -> Result<Option<Head>, Rejection> {
-        gate::parse_response_head(bytes)
-    }
-
-    fn reject(&self, rejection: Rejection) -> std::io::Result<&'static [u8]> {
-        Err(std::io::Error::new(std::io::ErrorKind::InvalidData, rejection.1))
-    }
-
-    fn excess_received(&self) {
-        self.excess.set(true);
-    }
-
-    fn written(&self, all: bool) {
-        self.monitor.written(all);
-    }
-}
-
-/// The head of a server's response, the first part of its body, and the connection, from which the rest of the body is
-/// read or which can be reused.
-struct Exchange {
-    head: response::Parts,
-    prefix: BodyPrefix,
-    rest: Incoming,
-    connection: Connection,
-}
-
 /// All servers and their HTTP/1.1 connections.
 pub struct HttpUpstream {
     pool: Pool<Connection>,
@@ -159,64 +80,12 @@
         if let Some(connection) = self.pool.take_idle(server) {
             return Ok(connection);
         }
-        let NewConnection { stream, slot, generation } = self.pool.connect(server).await?;
-        let (stream, excess) = (Rc::new(stream), Rc::new(Cell::new(false)));
-        let monitor = SendMonitor::new(&stream);
-        let gate = Gate::new(stream, ResponseHandler { excess: excess.clone(), monitor: monitor.clone() });
-        let handshake =
-            http1::Builder::new().max_buf_size(MAX_HYPER_BUFFER).handshake(TokioIo::new(gate)).await;
-        let (sender, connection) = handshake.map_err(|_| Outcome::Unreachable)?;
-        let driver = tokio::task::spawn_local(drive_connection(connection, slot)).abort_handle();
-        Ok(Connection { sender, driver, monitor, excess, generation })
-    }
-
-    // ---- attempts and probes ----
-    /// Sends a request and reads its response, or the first part of a large one. Gives up if the request is not with the
-    /// server at `complete_by`.
-    async fn exchange(
-        mut connection: Connection,
-        request: Request<OutgoingBody>,
-        left: Duration,
-        complete_by: Option<Instant>,
-    ) -> Result<Exchange, Outcome> {
-        let upload_end = match request.body() {
-            OutgoingBody::Whole(_) => None,
-            OutgoingBody::Streamed(reader) => Some(reader.end()),
-        };
-        let monitor = connection.monitor.clone();
-        monitor.reset();
-        let response = tokio::select! {
-            biased;
-            response = connection.sender.try_send_request(request) => response,
-            outcome = missed_window(&monitor, upload_end.as_deref(), complete_by) => return Err(outcome),
-        };
-        let response = match response {
-            Ok(response) => response,
-            // Returned unsent. In any other case some of it may have reached the server and may have run there.
-            Err(error) if error.message().is_some() => return Err(Outcome::Unreachable),
-            // No server runs a request before it has received the last byte.
-            Err(_) => match upload_end.map(|end| end.get()) {
-                Some(UploadEnd::Pending) => return Err(Outcome::Unreachable),
-                Some(UploadEnd::Denied) => return Err(Outcome::NotSent),
-                Some(UploadEnd::Finished) | None if !monitor.is_written() => {
-                    return Err(Outcome::Unreachable)
-                }
-                Some(UploadEnd::Finished) | None => return Err(Outcome::Broken),
-            },
-        };
-        let (head, mut rest) = response.into_parts();
-        match BodyPrefix::of_response(&mut rest, left).await {
-            Ok(prefix) => Ok(Exchange { head, prefix, rest, connection }),
-            Err(_) => Err(Outcome::Broken),
-        }
+        Connection::start(self.pool.connect(server).await?).await
     }
 
     /// Parses a load report. `None` if it is malformed or has none of the known fields.
     fn load_report(&self, text: &[u8]) -> Option<LoadReport> {
-        let mut reader = serde_json::Deserializer::from_slice(text);
-        let report = ReportReader(self).deserialize(&mut reader).ok()?;
-        reader.end().ok()?;
-        (report != LoadReport::default()).then_some(report)
+        load_report::parse(text, &self.names, &self.fields)
     }
 }
 
@@ -274,7 +143,7 @@
         outgoing.headers_mut().insert("x-timeout", timeout.expect("digits are a valid header value"));
         let sent = Instant::now();
         let Exchange { head, prefix, rest, connection } =
-            match Self::exchange(connection, outgoing, left, complete_by).await {
+            match connection.exchange(outgoing, left, complete_by).await {
                 Ok(exchange) => exchange,
                 Err(outcome) => return handle.finish(AttemptResult::from_outcome(outcome)),
             };
@@ -311,7 +180,7 @@
         let request = request
             .body(OutgoingBody::Whole(None))
             .expect("a fixed path and an address form a valid request");
-        let exchange = match Self::exchange(connection, request, PROBE_TIMEOUT, None).await {
+        let exchange = match connection.exchange(request, PROBE_TIMEOUT, None).await {
             Ok(exchange) if exchange.prefix.complete => exchange,
             Ok(_) => return handle.finish(Outcome::Broken, None),
             Err(outcome) => return handle.finish(outcome, None),
@@ -324,56 +193,6 @@
     }
 }
 
-/// Waits until `complete_by`, and returns the outcome of the attempt if its request is not with the server then. A server
-/// that got the last byte later might not recognize the request's key any more.
-async fn missed_window(
-    monitor: &SendMonitor,
-    upload_end: Option<&Cell<UploadEnd>>,
-    complete_by: Option<Instant>,
-) -> Outcome {
-    let Some(complete_by) = complete_by else { return std::future::pending().await };
-    sleep_until(complete_by).await;
-    let all_handed_over = upload_end.is_none_or(|end| end.get() == UploadEnd::Finished);
-    if !all_handed_over || !monitor.is_written() {
-        monitor.discard_unsent();
-        return Outcome::NotSent;
-    }
-    monitor.undelivered(complete_by).await;
-    monitor.discard_unsent();
-    // What has just arrived may run.
-    Outcome::Broken
-}
-
-/// Deserializes a load report field by field without an intermediate map, since every probe returns one.
-struct ReportReader<'a>(&'a HttpUpstream);
-
-impl<'de> DeserializeSeed<'de> for ReportReader<'_> {
-    type Value = LoadReport;
-
-    fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<LoadReport, D::Error> {
-        deserializer.deserialize_map(self)
-    }
-}
-
-impl<'de> Visitor<'de> for ReportReader<'_> {
-    type Value = LoadReport;
-
-    fn expecting(&self, to: &mut fmt::Formatter) -> fmt::Result {
-        to.write_str("a load report")
-    }
-
-    fn visit_map<A: MapAccess<'de>>(self, mut values: A) -> Result<LoadReport, A::Error> {
-        let mut report = LoadReport::default();
-        while let Some(name) = values.next_key::<Cow<str>>()? {
-            match self.0.names.fields.iter().position(|f| *f == name).and_then(|at| self.0.fields.get(at)) {
-                Some(field) => field.store(values.next_value()?, &mut report),
-                None => drop(values.next_value::<IgnoredAny>()?),
-            }
-        }
-        Ok(report)
-    }
-}
-
 /// The outcome of the request according to a response.
 fn response_outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
     let not_run = || headers.get(NOT_PROCESSED).is_some_and(|v| v.as_bytes() == b"1");
@@ -384,11 +203,3 @@
         _ => Outcome::Error,
     }
 }
-
-type Driver = http1::Connection<TokioIo<Gate<ResponseHandler>>, OutgoingBody>;
-
-/// Runs a connection until it ends, then frees its slot.
-async fn drive_connection(connection: Driver, permit: OwnedSemaphorePermit) {
-    let _ = connection.await;
-    drop(permit);
-}
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -66,6 +66,11 @@
     assert!(!text("interface.rs").contains("policy"), "the interface must not depend on the policy");
     let known = text("state.rs").replace("crate::policy::LoadHistory", "");
     assert!(!known.contains("policy"), "state.rs may use only LoadHistory of the policy");
+    let parts = Path::new(env!("CARGO_MANIFEST_DIR")).join("src/state").read_dir().expect("a folder");
+    for part in parts.map(|entry| entry.expect("an entry").file_name()) {
+        let part = part.into_string().expect("a name in ASCII");
+        assert!(!text(&format!("state/{part}")).contains("policy"), "state/{part} may not use the policy");
+    }
 }
 
 /// Every file of the folder is listed here and in the deploy file.
