Test: clients that stop in a body leave room for calls to discovery

Need: the postmortem of the stopped clients listed descriptors that are all used while discovery is down as not played with half bodies.

Change: the test of idle clients is played with a part of a body as well.

--- a/node/tests/discovery_failures.rs
+++ b/node/tests/discovery_failures.rs
@@ -196,12 +196,32 @@
 /// announces a drain, and the node must still be able to call it.
 #[tokio::test]
 async fn idle_clients_leave_room_for_calls_to_discovery() {
+    clients_leave_room_for_calls_to_discovery(|_| String::new()).await;
+}
+
+/// The same for clients that stop in the middle of a body.
+#[tokio::test]
+async fn stopped_clients_leave_room_for_calls_to_discovery() {
+    clients_leave_room_for_calls_to_discovery(|n| {
+        let part = "x".repeat(20_000);
+        format!(
+            "POST /unsafe HTTP/1.1\r\nHost: a\r\nX-Request-ID: stopped{n}\r\nX-Tenant-Id: one\r\n\
+             X-Timeout: 900m\r\nContent-Length: 60000\r\n\r\n{part}"
+        )
+    })
+    .await;
+}
+
+/// More clients than the node has descriptors send a part of a request while discovery is down.
+async fn clients_leave_room_for_calls_to_discovery(part: impl Fn(u32) -> String) {
     let server = Peer::new().await;
     let (node, discovery, watch) = Node::serving_with_sockets(64, settings(), &[("s", &server)]).await;
     drop(watch);
-    let mut idle = Vec::new();
-    for _ in 0..120 {
-        idle.push(node.client().await);
+    let mut clients = Vec::new();
+    for n in 0..120 {
+        let mut client = node.client().await;
+        client.write(&part(n)).await;
+        clients.push(client);
     }
     for _ in 0..3 {
         let (wire, _) = discovery.request().await;
