--- a/crates/http/src/body/mod.rs
+++ b/crates/http/src/body/mod.rs
@@ -98,8 +98,8 @@
 pub enum OutgoingBody {
     /// The complete body, until hyper takes it.
     Whole(Option<Bytes>),
-    /// A body that is still being received.
-    Streamed(UploadReader),
+    /// A body that is still being received. Boxed, since hyper keeps space for many bodies on each connection.
+    Streamed(Box<UploadReader>),
 }
 
 impl Body for OutgoingBody {
@@ -109,7 +109,7 @@
     fn poll_frame(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
             OutgoingBody::Whole(bytes) => Poll::Ready(bytes.take().map(Frame::data).map(Ok)),
-            OutgoingBody::Streamed(reader) => Pin::new(reader).poll_frame(cx),
+            OutgoingBody::Streamed(reader) => Pin::new(&mut **reader).poll_frame(cx),
         }
     }
 
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -132,7 +132,7 @@
                     handle.finish(AttemptResult::from_outcome(Outcome::NotSent));
                     return self.pool.give_back(&server, connection);
                 };
-                (OutgoingBody::Streamed(reader), left.min(upload.client_timeout))
+                (OutgoingBody::Streamed(Box::new(reader)), left.min(upload.client_timeout))
             }
         };
         let mut outgoing = Request::new(body);
