--- a/crates/standin/src/scripted/node.rs
+++ b/crates/standin/src/scripted/node.rs
@@ -24,6 +24,28 @@
     file: ConfigFile,
 }
 
+/// Resident memory of a process in KiB.
+#[derive(Clone, Copy, Debug)]
+pub struct MemoryInUse {
+    /// Heap and stacks.
+    pub anonymous_kib: u64,
+    /// Pages of the program and its libraries.
+    pub file_kib: u64,
+}
+
+impl MemoryInUse {
+    /// All of it, in KiB.
+    pub fn resident(self) -> u64 {
+        self.anonymous_kib + self.file_kib
+    }
+}
+
+/// Reads a figure in kB from a process's status.
+fn read_kib(status: &str, name: &str) -> u64 {
+    let value = status.lines().find_map(|line| line.strip_prefix(name)).expect("its memory");
+    value.trim().trim_end_matches(" kB").parse().expect("a number")
+}
+
 /// Starts a process with this configuration. The returned file must outlive the start.
 pub fn start(config: &str) -> (Child, ConfigFile) {
     start_with_env(config, &[])
@@ -203,10 +225,18 @@
 
     /// Peak resident memory in KiB.
     pub fn memory_peak(&self) -> u64 {
+        read_kib(&self.status(), "VmHWM:")
+    }
+
+    /// Resident memory now.
+    pub fn memory(&self) -> MemoryInUse {
+        let status = self.status();
+        MemoryInUse { anonymous_kib: read_kib(&status, "RssAnon:"), file_kib: read_kib(&status, "RssFile:") }
+    }
+
+    fn status(&self) -> String {
         let pid = self.child.id().expect("it runs");
-        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("its status");
-        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("its peak");
-        peak.trim().trim_end_matches(" kB").parse().expect("a number")
+        std::fs::read_to_string(format!("/proc/{pid}/status")).expect("its status")
     }
 
     /// CPU time used so far.
--- a/node/tests/slow_peers/clients.rs
+++ b/node/tests/slow_peers/clients.rs
@@ -187,6 +187,21 @@
     }
 }
 
+/// Sends a small order, stays until the node closes the connection, and comes again.
+pub async fn rest(address: SocketAddr, n: usize) {
+    sleep(Duration::from_millis(n as u64 % 1000)).await;
+    loop {
+        if let Ok(mut stream) = TcpStream::connect(address).await {
+            let order = Order::small("unsafe", LONG_TIMEOUT);
+            let mut answer = [0; 1024];
+            if stream.write_all(order.head().as_bytes()).await.is_ok() {
+                while stream.read(&mut answer).await.is_ok_and(|n| n > 0) {}
+            }
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Reads a whole answer and returns its body. `Err`: how much came before the connection was cut off.
 pub async fn read_whole(address: SocketAddr, order: Order) -> Result<Vec<u8>, usize> {
     let mut stream = TcpStream::connect(address).await.expect("a connection");
--- a/node/tests/slow_peers/shop.rs
+++ b/node/tests/slow_peers/shop.rs
@@ -20,9 +20,14 @@
     pub work: Duration,
 }
 
+impl Pace {
+    /// At full speed, and 5 ms of work.
+    pub const FAST: Pace = Pace { read_rate: None, write_rate: None, work: Duration::from_millis(5) };
+}
+
 impl Default for Pace {
     fn default() -> Self {
-        Pace { read_rate: None, write_rate: None, work: Duration::from_millis(5) }
+        Pace::FAST
     }
 }
 
