Measure the resident size; log and export it with what holds memory

The logs of the incident say neither how much memory a node used nor what for, and sum up once a second what grows within one. The node now reads its resident size from the system at each connection and request (at most once a millisecond) and every 100 ms, derives a level from it, and logs each change of level with allocated bytes, reservations and connections by activity. METRICS has the same. Nothing is decided by it yet.

--- a/crates/figures/src/lib.rs
+++ b/crates/figures/src/lib.rs
@@ -25,6 +25,8 @@
 //! | `app_cluster_health` | gauge | with `[cluster]`: how badly this node receives from others: 0 (well) to 8 |
 //! | `app_mesh{of}` | gauge | with `[mesh]`: connections that are open and that were opened in total, requests, messages, failed attempts |
 //! | `app_limit_let_in{limit}`, `app_limit_turned_away{limit}`, `app_limit_per_s{limit}` | gauge | with `[[limits]]`: requests admitted and rejected by each limit, and this node's part of it |
+//! | `app_memory_bytes{of}` | gauge | memory of the process: its `limit`, its `resident` size, what is `allocated`, and what is reserved for `request_bodies` and `response_bodies` |
+//! | `app_memory_level{at}` | gauge | how short memory is: 0 (normal) to 3 (critical) |
 //! | `app_sighup_applied`, `app_sighup_rejected` | counter | configuration reloads that were applied and rejected |
 
 #![forbid(unsafe_code)]
--- a/crates/http/src/body/budget.rs
+++ b/crates/http/src/body/budget.rs
@@ -13,18 +13,36 @@
 
 /// A memory budget in bytes, shared by all bodies that are buffered for one purpose.
 #[derive(Clone, Debug)]
-pub struct BufferBudget(Arc<AtomicUsize>);
+pub struct BufferBudget {
+    capacity: usize,
+    left: Arc<AtomicUsize>,
+}
 
 impl BufferBudget {
     /// Creates a budget of this many bytes.
     pub fn new(bytes: usize) -> Self {
-        BufferBudget(Arc::new(AtomicUsize::new(bytes)))
+        BufferBudget { capacity: bytes, left: Arc::new(AtomicUsize::new(bytes)) }
+    }
+
+    /// Returns how many bytes are reserved.
+    pub fn reserved(&self) -> usize {
+        self.capacity - self.left.load(Ordering::Relaxed)
+    }
+
+    /// Takes bytes out of the budget. `false`: it does not have them.
+    fn take(&self, bytes: usize) -> bool {
+        let taken =
+            self.left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(bytes));
+        taken.is_ok()
+    }
+
+    fn give_back(&self, bytes: usize) {
+        self.left.fetch_add(bytes, Ordering::Relaxed);
     }
 
     /// Reserves bytes until the reservation is dropped. `None`: the budget does not have them.
     pub fn reserve(&self, bytes: usize) -> Option<Reservation> {
-        self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(bytes)).ok()?;
-        Some(Reservation { budget: self.clone(), bytes })
+        self.take(bytes).then(|| Reservation { budget: self.clone(), bytes })
     }
 
     /// Reserves what one more part of a body may need.
@@ -45,20 +63,17 @@
     fn shrink(&mut self, bytes: usize) {
         let surplus = self.bytes.saturating_sub(bytes);
         self.bytes -= surplus;
-        self.budget.0.fetch_add(surplus, Ordering::Relaxed);
+        self.budget.give_back(surplus);
     }
 
     /// Reserves more, up to this many bytes in all. Returns `false` if the budget does not have them.
     pub fn grow_to(&mut self, bytes: usize) -> bool {
         let missing = bytes.saturating_sub(self.bytes);
-        let grown = self
-            .budget
-            .0
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(missing));
-        if grown.is_ok() {
+        let grown = self.budget.take(missing);
+        if grown {
             self.bytes += missing;
         }
-        grown.is_ok()
+        grown
     }
 
     /// Keeps the reservation for as long as any clone or slice of the bytes lives.
@@ -69,7 +84,7 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.budget.0.fetch_add(self.bytes, Ordering::Relaxed);
+        self.budget.give_back(self.bytes);
     }
 }
 
--- a/crates/http/src/body/budget/tests.rs
+++ b/crates/http/src/body/budget/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 fn left(budget: &BufferBudget) -> usize {
-    budget.0.load(Ordering::Relaxed)
+    budget.left.load(Ordering::Relaxed)
 }
 
 #[test]
--- a/crates/http/src/front/mod.rs
+++ b/crates/http/src/front/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! [`HttpFrontend`] accepts connections and makes room for them as `eviction` says; `connection` serves one connection, whose
 //! state `client` tracks; `response` handles one request, whose head `request_head` parses;
-//! `tracked_body` sends the response body; `events` counts what went wrong, for the log.
+//! `tracked_body` sends the response body; `events` counts what went wrong, for the log; `memory` has the process's memory
+//! checked.
 
 mod client;
 mod connection;
 mod events;
 mod eviction;
+mod memory;
 mod request_head;
 mod response;
 mod tracked_body;
@@ -16,6 +18,7 @@
 use crate::upstream::HttpUpstream;
 use birchswitch_host::socket::queued_connections;
 use birchswitch_host::Host;
+use birchswitch_memory::MemoryMonitor;
 use birchswitch_site::Names;
 use client::Client;
 use events::{EventSummary, Reason};
@@ -65,6 +68,7 @@
     max_connections: u32,
     /// Budget for retained request bodies.
     budget: BufferBudget,
+    memory: Rc<MemoryMonitor>,
     slots: Arc<Semaphore>,
     clients: RefCell<FxHashMap<u64, Rc<Client>>>,
     next_client: Cell<u64>,
@@ -73,13 +77,14 @@
 
 impl HttpFrontend {
     /// Creates a frontend that accepts at most `connections` at a time. `budget` bounds the memory for large request
-    /// bodies that are retained for further attempts.
+    /// bodies that are retained for further attempts; `memory` measures what the process uses.
     pub fn new(
         host: Rc<Host<HttpUpstream>>,
         names: Rc<Names>,
         effects: Vec<Effect>,
         connections: u32,
         budget: BufferBudget,
+        memory: Rc<MemoryMonitor>,
         phase: watch::Receiver<ShutdownPhase>,
     ) -> Rc<Self> {
         Rc::new(HttpFrontend {
@@ -89,6 +94,7 @@
             phase,
             max_connections: connections,
             budget,
+            memory,
             slots: Arc::new(Semaphore::new(connections as usize)),
             clients: RefCell::default(),
             next_client: Cell::new(0),
@@ -105,6 +111,7 @@
             loop {
                 let now = interval.tick().await;
                 checking.clients.borrow().values().for_each(|c| c.check_timeouts(now));
+                checking.check_memory();
                 if now >= next_summary {
                     next_summary = now + SUMMARY_INTERVAL;
                     checking.log_events();
@@ -122,6 +129,7 @@
                 accepted = listener.accept() => match accepted {
                     // Connections are evicted only for one that waits.
                     Ok((stream, _)) => {
+                        self.check_memory();
                         let permit = self.acquire_slot().await;
                         self.clone().start_connection(stream, permit);
                     }
--- a/crates/http/src/front/response.rs
+++ b/crates/http/src/front/response.rs
@@ -35,6 +35,7 @@
     /// Handles a request and returns its response.
     pub(super) async fn handle(&self, client: &Client, request: Request<Body>) -> Response<ResponseBody> {
         let received = Instant::now();
+        self.check_memory();
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/health/ready") => {
                 let ready = self.host.ready() && *self.phase.borrow() == ShutdownPhase::Serving;
--- /dev/null
+++ b/crates/memory/src/lib.rs
@@ -0,0 +1,18 @@
+//! Keeps a process within its memory limit by measurement.
+//!
+//! What a program counts is less than what it occupies: allocators round up, keep freed blocks, and the program's own
+//! pages count too. [`MemoryMonitor`] reads the resident size from the system and derives a [`MemoryLevel`] from it, which
+//! other packages ask through [`MemoryPressure`] before they take on more.
+//!
+//! `level` decides, without I/O; `resident` and `allocator` ask the system and the C library.
+
+#![deny(unsafe_code)]
+#![deny(missing_docs)]
+
+mod allocator;
+mod level;
+mod monitor;
+mod resident;
+
+pub use level::{MemoryLevel, Thresholds};
+pub use monitor::{MemoryMonitor, MemoryPressure, MemoryUsage};
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -8,6 +8,7 @@
 mod lease_run;
 mod lists;
 mod log;
+mod memory;
 mod operations;
 mod operator;
 mod thrift;
@@ -17,6 +18,7 @@
 use birchswitch_http::{BufferBudget, HttpFrontend, HttpUpstream, ShutdownPhase, UpstreamLimits};
 use birchswitch_lease_host::{Leases, Tasks};
 use birchswitch_membership::{Directory, Discovery};
+use birchswitch_memory::MemoryMonitor;
 use clap::{Parser, Subcommand};
 use config::{Config, RESERVED_SOCKETS};
 use fleet::{health, leases, members, Fleet, FleetSettings};
@@ -112,6 +114,8 @@
     // Clients and servers share the descriptors equally. That is more than the third that clients need for requests: the rest is
     // for idle connections.
     let MemoryPlan { requests, bodies } = MemoryPlan::new(memory);
+    let memory_monitor = Rc::new(MemoryMonitor::new(config.memory));
+    let (request_bodies, response_bodies) = (BufferBudget::new(bodies), BufferBudget::new(bodies));
     let clients = ((sockets - RESERVED_SOCKETS) / 2).min(requests);
     let limits = UpstreamLimits {
         connections: sockets - RESERVED_SOCKETS - clients,
@@ -119,7 +123,7 @@
         conn_idle: or_default(settings.conn_idle, Duration::from_secs(5)),
     };
     let names = Rc::new(config.site.names);
-    let upstream = HttpUpstream::new(limits, names.clone(), config.site.fields, BufferBudget::new(bodies));
+    let upstream = HttpUpstream::new(limits, names.clone(), config.site.fields, response_bodies.clone());
     let subscribe = settings.subscribe_to_lists;
     let directory = Directory::new(names.clone());
     let metrics = Metrics::new(&names.classes)?;
@@ -167,6 +171,11 @@
         leases.iter().map(|l| Rc::new(leases::LeaseOperations(l.clone())) as Rc<dyn operations::Subsystem>),
     );
     subsystems.extend(fleet.iter().flat_map(Fleet::subsystems));
+    subsystems.push(Rc::new(memory::MemoryOperations::new(
+        memory_monitor.clone(),
+        request_bodies.clone(),
+        response_bodies,
+    )));
     let operator_server = operations::OperatorServer::open(
         config.ops,
         config.state,
@@ -217,7 +226,8 @@
         names.clone(),
         effects,
         clients as u32,
-        BufferBudget::new(bodies),
+        request_bodies,
+        memory_monitor,
         phases,
     );
     let waiting = host.clone();
--- a/node/tests/slow_peers.rs
+++ b/node/tests/slow_peers.rs
@@ -2,6 +2,7 @@
 //! time, and cuts off no answer that is still coming.
 
 mod slow_peers {
+    #[allow(dead_code)]
     pub mod clients;
     pub mod shop;
 }
