Free pages are given back to the system while memory is short and after a crowd

A node that had been through crowds kept 29.5 MiB of heap resident of which 2.7 MiB were allocated (heap profile): freed blocks of 8 to 64 KiB between long-lived small ones. The next crowd's blocks of other sizes came on top. The node now calls malloc_trim when the resident size grows while memory is short, and otherwise every 1 to 4 s; the pause doubles while nothing comes of it.

--- a/crates/memory/src/allocator.rs
+++ b/crates/memory/src/allocator.rs
@@ -1,4 +1,4 @@
-//! What the C library's allocator holds (mallinfo2(3)).
+//! What the C library's allocator holds, and giving its free pages back (mallinfo2(3), malloc_trim(3)).
 
 #![allow(unsafe_code)]
 
@@ -14,3 +14,13 @@
 pub(crate) fn allocated_bytes() -> Option<usize> {
     None
 }
+
+/// Gives free pages back to the system.
+#[cfg(all(target_os = "linux", target_env = "gnu"))]
+pub(crate) fn release_free_pages() {
+    // SAFETY: the argument is the number of bytes to keep at the heap's end; safe to call from any thread.
+    unsafe { libc::malloc_trim(0) };
+}
+
+#[cfg(not(all(target_os = "linux", target_env = "gnu")))]
+pub(crate) fn release_free_pages() {}
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -2,9 +2,10 @@
 //!
 //! What a program counts is less than what it occupies: allocators round up, keep freed blocks, and the program's own
 //! pages count too. [`MemoryMonitor`] reads the resident size from the system and derives a [`MemoryLevel`] from it, which
-//! other packages ask through [`MemoryPressure`] before they take on more.
+//! other packages ask through [`MemoryPressure`] before they take on more. It also tells the allocator to give free
+//! pages back.
 //!
-//! `level` decides, without I/O; `resident` and `allocator` ask the system and the C library.
+//! `level` and `release` decide, without I/O; `resident` and `allocator` ask the system and the C library.
 
 #![deny(unsafe_code)]
 #![deny(missing_docs)]
@@ -12,7 +13,9 @@
 mod allocator;
 mod level;
 mod monitor;
+mod release;
 mod resident;
 
 pub use level::{MemoryLevel, Thresholds};
 pub use monitor::{MemoryMonitor, MemoryPressure, MemoryUsage};
+pub use release::ReleaseSchedule;
--- a/crates/memory/src/monitor.rs
+++ b/crates/memory/src/monitor.rs
@@ -2,8 +2,9 @@
 
 use crate::allocator;
 use crate::level::{MemoryLevel, Thresholds};
+use crate::release::ReleaseSchedule;
 use crate::resident::ResidentReader;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -38,7 +39,7 @@
     pub allocated: Option<usize>,
 }
 
-/// Reads the resident size, and sets the level. Used by one thread.
+/// Reads the resident size, sets the level, and releases free pages. Used by one thread.
 pub struct MemoryMonitor {
     limit: usize,
     reader: ResidentReader,
@@ -47,6 +48,7 @@
     resident: Cell<usize>,
     checked: Cell<Instant>,
     level_since: Cell<Instant>,
+    release: RefCell<ReleaseSchedule>,
 }
 
 impl MemoryMonitor {
@@ -63,6 +65,7 @@
             resident: Cell::new(at_start),
             checked: Cell::new(now),
             level_since: Cell::new(now),
+            release: RefCell::new(ReleaseSchedule::new(at_start)),
         }
     }
 
@@ -88,7 +91,15 @@
             return None;
         }
         self.checked.set(now);
-        let resident = self.reader.read()?;
+        let mut resident = self.reader.read()?;
+        let level = self.pressure.level();
+        let measured = self.thresholds.next_level(level, Duration::ZERO, resident);
+        if self.release.borrow_mut().is_due(elapsed, measured, resident) {
+            allocator::release_free_pages();
+            let after = self.reader.read().unwrap_or(resident);
+            self.release.borrow_mut().released(resident, after);
+            resident = after;
+        }
         self.resident.set(resident);
         self.update_level(now, resident)
     }
