Connections to servers rest without hyper's buffers

A node with crowds behind it had 405 connections to servers beside 321 of clients, each with 26 to 36 KiB of hyper's (heap profile: 9.6 KiB of a channel with 32 places, of which a second one comes with the 33rd request, 8 KiB to write, 8 KiB to read, a task). The plan of memory counts one connection to a server for each request and none that rests. A connection now starts hyper for each exchange and takes its socket back after it; one that announced its close, whose request was not written whole, or behind whose answer bytes came is closed as before, and so is one whose upload had no length.

--- a/crates/http/src/flush_signal.rs
+++ b/crates/http/src/flush_signal.rs
@@ -24,6 +24,11 @@
         }
     }
 
+    /// Whether hyper has nothing left to write.
+    pub fn is_flushed(&self) -> bool {
+        !self.unwritten.get()
+    }
+
     /// Waits until hyper has nothing left to write.
     pub fn poll_flushed(&self, cx: &Context) -> Poll<()> {
         if !self.unwritten.get() {
--- a/crates/http/src/gate/mod.rs
+++ b/crates/http/src/gate/mod.rs
@@ -144,6 +144,16 @@
         }
     }
 
+    /// Whether nothing that was received is left.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    /// Returns the socket.
+    pub fn into_socket(self) -> Rc<TcpStream> {
+        self.socket
+    }
+
     fn poll_readable(&mut self, cx: &mut Context) -> Poll<io::Result<()>> {
         let readable = self.socket.poll_read_ready(cx);
         if readable.is_pending() {
--- a/crates/http/src/send_monitor.rs
+++ b/crates/http/src/send_monitor.rs
@@ -2,7 +2,7 @@
 
 use crate::flush_signal::FlushSignal;
 use birchswitch_host::delivery;
-use birchswitch_host::socket::{discard_unsent, is_open_and_idle};
+use birchswitch_host::socket::discard_unsent;
 use std::cell::Cell;
 use std::rc::{Rc, Weak};
 use tokio::net::TcpStream;
@@ -22,7 +22,7 @@
 /// Watches a connection's socket and what is written to it.
 #[derive(Clone)]
 pub struct SendMonitor {
-    /// Weak, so that the socket closes when its driver ends, even while the connection is idle.
+    /// Weak, so that the socket closes when its driver ends.
     socket: Weak<TcpStream>,
     progress: Rc<Cell<Progress>>,
     /// Holds a streamed request back until what was sent of it is written.
@@ -67,11 +67,6 @@
         self.progress.get() == Progress::Complete
     }
 
-    /// Whether the connection is open and nothing was received over it.
-    pub fn is_open_and_idle(&self) -> bool {
-        self.socket().is_some_and(|socket| is_open_and_idle(&socket))
-    }
-
     /// Waits until `complete_by`, and returns then if the server's machine has not received everything that was
     /// written.
     pub async fn undelivered(&self, complete_by: Instant) {
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -12,7 +12,7 @@
 use birchswitch_host::{AttemptHandle, Metrics, ProbeHandle, SendGrant, Upstream};
 use birchswitch_membership::Target;
 use birchswitch_site::{Names, ReportField};
-use connection::{Connection, Exchange};
+use connection::{Connection, Exchange, ResponseHead};
 use finchvale::{LoadReport, Outcome, ServerId};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -77,7 +77,7 @@
         if let Some(connection) = self.pool.take_idle(server) {
             return Ok(connection);
         }
-        Connection::start(self.pool.connect(server).await?).await
+        self.pool.connect(server).await.map(Connection::new)
     }
 
     /// Parses a load report. `None` if it is malformed or has none of the known fields.
@@ -123,7 +123,7 @@
                 (OutgoingBody::Whole(Some(bytes.clone())), left)
             }
             RequestBody::Streamed(upload) => {
-                let held = complete_by.and_then(|at| connection.hold(at));
+                let held = complete_by.map(|at| connection.hold(at));
                 // The body can't be sent from the start any more: the attempt ends as not sent.
                 let Some(reader) = connection.reader_of(upload, Box::new(handle.last_byte_permit()), held)
                 else {
@@ -145,12 +145,14 @@
                 Err(outcome) => return handle.finish(AttemptResult::from_outcome(outcome)),
             };
         let outcome = response_outcome(head.status, &head.headers);
+        let response_head = ResponseHead::of(&head);
         let report = head.headers.get(LOAD_REPORT).and_then(|v| self.load_report(v.as_bytes()));
         let complete = prefix.complete;
         if outcome == Outcome::Served && !complete {
             // The rest of the body keeps the connection until it has been received.
             let budget = self.budget.clone();
-            let on_complete = move || self.pool.give_back(&server, connection);
+            let give_back = move |connection| self.pool.give_back(&server, connection);
+            let on_complete = move || connection.release(&response_head, give_back);
             let body = StreamedBody::new(prefix.bytes, rest, budget, on_complete);
             let answer = Response::from_parts(head, ResponseBody::Streamed(body));
             return handle.finish(AttemptResult { outcome, report, answer: Some(answer) });
@@ -160,7 +162,7 @@
         handle.finish(AttemptResult { outcome, report, answer });
         // The rest of a response that is not forwarded is not read; its connection is closed.
         if complete {
-            self.pool.give_back(&server, connection);
+            connection.release(&response_head, move |connection| self.pool.give_back(&server, connection));
         }
     }
 
@@ -183,7 +185,8 @@
         let body = exchange.prefix.bytes;
         let report = (outcome == Outcome::Served).then(|| self.load_report(&body)).flatten();
         handle.finish(outcome, report);
-        self.pool.give_back(&server, exchange.connection);
+        let head = ResponseHead::of(&exchange.head);
+        exchange.connection.release(&head, move |connection| self.pool.give_back(&server, connection));
     }
 }
 
