Buffers are mapped each on its own, and nothing touches the pages of empty ones

Of the 54 KiB that a stalled upload holds, 34 are buffers with little or nothing in them, but all of their pages were resident: the gate zeroed 8 KiB before each read of a body, also when nothing came, and the heap handed out pages that others had written to. Blocks of 8 KiB and more are now mapped (M_MMAP_THRESHOLD), the gate reads without zeroing and 32 bytes less at a time, so that a full buffer takes two pages and not three, and a connection frees its buffers before it lingers.

--- a/crates/http/src/front/connection.rs
+++ b/crates/http/src/front/connection.rs
@@ -44,6 +44,12 @@
     }
 
     async fn serve_connection(self: &Rc<Self>, client: &Rc<Client>) {
+        self.serve_requests(client).await;
+        self.linger(client).await;
+    }
+
+    /// Serves requests until nothing more is owed. The buffers end with it.
+    async fn serve_requests(self: &Rc<Self>, client: &Rc<Client>) {
         let service = service_fn(|request| self.respond(client, request));
         // A periodic check of all connections enforces time limits, instead of a timer for each connection.
         let connection = http1::Builder::new()
@@ -81,7 +87,6 @@
                 break;
             }
         }
-        self.linger(client).await;
     }
 
     /// Responds to one request of a connection.
--- a/crates/http/src/gate/mod.rs
+++ b/crates/http/src/gate/mod.rs
@@ -8,7 +8,7 @@
 mod heads;
 
 pub use arrivals::ArrivalTimes;
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, BufMut, BytesMut};
 pub use heads::{parse_request_head, parse_response_head};
 use hyper::StatusCode;
 use socket2::SockRef;
@@ -24,9 +24,12 @@
 pub const MAX_HEAD: usize = 16 << 10;
 /// Buffer space reserved for a read of anything but a body.
 const READ_SIZE: usize = 4 << 10;
-/// Maximum number of bytes that hyper gets at a time: one less than its initial read buffer, whose size it doubles after
-/// a read that fills it.
-pub const MAX_FORWARD: usize = (8 << 10) - 1;
+/// Size in bytes of hyper's initial read buffer. It doubles the size after a read that fills the buffer.
+const HYPER_BUFFER: usize = 8 << 10;
+/// Bytes that an allocator may need beside a block.
+const BLOCK_HEADER: usize = 32;
+/// Maximum number of bytes that hyper gets at a time. They do not fill its buffer, nor reach into one more page.
+pub const MAX_FORWARD: usize = HYPER_BUFFER - BLOCK_HEADER;
 /// Maximum number of bytes read ahead behind the message being processed.
 const MAX_READ_AHEAD: usize = 16 << 10;
 /// The rejection of a request that was incomplete when the node shut down.
@@ -211,13 +214,12 @@
         // The body needs no buffer of its own.
         self.buffer = BytesMut::new();
         let limit = usize::try_from(limit).unwrap_or(usize::MAX).min(MAX_FORWARD).min(buf.remaining());
-        let unfilled = buf.initialize_unfilled_to(limit);
-        let polled = self.poll_receive(cx, limit, |_, socket| socket.try_read(unfilled))?;
+        // Without initialization, which would touch the pages of a buffer that nothing may come for.
+        let polled = self.poll_receive(cx, limit, |_, socket| socket.try_read_buf(&mut buf.limit(limit)))?;
         if polled.is_pending() {
             self.handler.body_awaited();
         }
         let n = ready!(polled);
-        buf.advance(n);
         self.handler.forwarded(n);
         if let Expected::Body(left) = self.expected {
             self.expected = Expected::Body(left - n as u64);
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -72,6 +72,7 @@
 }
 
 fn main() -> ExitCode {
+    birchswitch_memory::map_large_blocks();
     let command = Arguments::parse().command;
     let run = || -> Result<ExitCode, Box<dyn Error>> {
         if let Some(Command::Lease(lease)) = command {
