Measured memory governs what a node takes on

All control was by counting, and the plan spent the limit to the last byte. Resident size now sets levels, at 50, 75 and 80% of what the limit leaves beside the process: first nothing is read ahead or retained, then large requests are refused with 503 and clients that stop make room, then no request is taken on. What was taken on gets its answer at every level.

--- a/crates/http/src/body/budget.rs
+++ b/crates/http/src/body/budget.rs
@@ -1,5 +1,6 @@
 //! Memory budgets in bytes for buffered bodies.
 
+use birchswitch_memory::{MemoryLevel, MemoryPressure};
 use bytes::Bytes;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -16,12 +17,18 @@
 pub struct BufferBudget {
     capacity: usize,
     left: Arc<AtomicUsize>,
+    pressure: MemoryPressure,
 }
 
 impl BufferBudget {
     /// Creates a budget of this many bytes.
     pub fn new(bytes: usize) -> Self {
-        BufferBudget { capacity: bytes, left: Arc::new(AtomicUsize::new(bytes)) }
+        BufferBudget::with_pressure(bytes, MemoryPressure::default())
+    }
+
+    /// Creates a budget of this many bytes that gives out nothing while the process's memory is short.
+    pub fn with_pressure(bytes: usize, pressure: MemoryPressure) -> Self {
+        BufferBudget { capacity: bytes, left: Arc::new(AtomicUsize::new(bytes)), pressure }
     }
 
     /// Returns how many bytes are reserved.
@@ -29,8 +36,11 @@
         self.capacity - self.left.load(Ordering::Relaxed)
     }
 
-    /// Takes bytes out of the budget. `false`: it does not have them.
+    /// Takes bytes out of the budget. `false`: it does not have them, or memory is short.
     fn take(&self, bytes: usize) -> bool {
+        if bytes > 0 && self.pressure.level() >= MemoryLevel::High {
+            return false;
+        }
         let taken =
             self.left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(bytes));
         taken.is_ok()
@@ -45,8 +55,16 @@
         self.take(bytes).then(|| Reservation { budget: self.clone(), bytes })
     }
 
-    /// Reserves what one more part of a body may need.
+    /// Whether parts of large bodies may be kept or read ahead of their receiver.
+    pub fn allows_read_ahead(&self) -> bool {
+        self.pressure.level() < MemoryLevel::Elevated
+    }
+
+    /// Reserves what one more part of a body may need that is read ahead of its receiver.
     pub fn reserve_part(&self) -> Option<Reservation> {
+        if !self.allows_read_ahead() {
+            return None;
+        }
         self.reserve(BLOCK + PART_OVERHEAD)
     }
 }
--- a/crates/http/src/body/budget/tests.rs
+++ b/crates/http/src/body/budget/tests.rs
@@ -27,6 +27,23 @@
     assert_eq!(left(&budget), 100);
 }
 
+#[test]
+fn nothing_is_read_ahead_while_memory_is_elevated_and_nothing_reserved_while_it_is_high() {
+    let pressure = MemoryPressure::default();
+    let budget = BufferBudget::with_pressure(1 << 20, pressure.clone());
+    let mut kept = budget.reserve(100).expect("memory is normal");
+    pressure.set_level(MemoryLevel::Elevated);
+    assert!(budget.reserve_part().is_none());
+    assert!(budget.reserve(100).is_some() && kept.grow_to(200));
+    pressure.set_level(MemoryLevel::High);
+    assert!(budget.reserve(100).is_none() && !kept.grow_to(300));
+    assert!(budget.reserve(0).is_some(), "small heads need nothing");
+    pressure.set_level(MemoryLevel::Normal);
+    assert!(budget.reserve_part().is_some());
+    drop(kept);
+    assert_eq!(budget.reserved(), 0);
+}
+
 /// Guards against a few bytes that keep a whole block in memory and are counted as a few bytes.
 #[test]
 fn a_small_part_keeps_no_block() {
--- a/crates/http/src/body/prefix.rs
+++ b/crates/http/src/body/prefix.rs
@@ -91,6 +91,10 @@
 impl PrefixBuffer {
     /// Starts with a body of this length, if it is known. `None`: the budget has no space for it.
     fn new(length: Option<u64>, budget: &BufferBudget) -> Option<Self> {
+        let large = length.is_some_and(|length| length > WHOLE_BODY_LIMIT as u64);
+        if large && !budget.allows_read_ahead() {
+            return None;
+        }
         let length = length.map(|length| length.min(WHOLE_BODY_LIMIT as u64 + 1) as usize);
         let reservation = match length {
             Some(length) if length > UNRESERVED_BODY => Some(budget.reserve(length)?),
--- a/crates/http/src/front/memory.rs
+++ b/crates/http/src/front/memory.rs
@@ -1,11 +1,26 @@
-//! What the frontend does about the process's memory: it has it checked as connections and requests come, and logs each
-//! change of level with what holds memory at that moment.
+//! What the frontend does about the process's memory: it has it checked as connections and requests come, takes on less
+//! while it is short, and logs each change of level with what holds memory at that moment.
 
 use super::client::State;
 use super::HttpFrontend;
+use crate::body::WHOLE_BODY_LIMIT;
+use crate::gate::Rejection;
 use birchswitch_memory::MemoryLevel;
+use hyper::StatusCode;
 use std::fmt;
 
+/// The rejection of a request for which there is no memory. None of it was forwarded.
+pub(super) const NO_MEMORY: Rejection = (StatusCode::SERVICE_UNAVAILABLE, "too much memory is in use");
+
+/// Whether a request with a body of this length, if it is known, is accepted at this level.
+fn accepts(level: MemoryLevel, body_length: Option<u64>) -> bool {
+    match level {
+        MemoryLevel::Normal | MemoryLevel::Elevated => true,
+        MemoryLevel::High => body_length.is_some_and(|length| length <= WHOLE_BODY_LIMIT as u64),
+        MemoryLevel::Critical => false,
+    }
+}
+
 /// Number of client connections by what they are doing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct ConnectionCounts {
@@ -55,6 +70,16 @@
         }
     }
 
+    /// Whether there is memory for a request with a body of this length, if it is known.
+    pub(super) fn has_memory_for(&self, body_length: Option<u64>) -> bool {
+        accepts(self.memory.pressure().level(), body_length)
+    }
+
+    /// Whether connections that hold memory without need are to be closed.
+    pub(super) fn is_memory_short(&self) -> bool {
+        self.memory.pressure().level() >= MemoryLevel::High
+    }
+
     fn log_memory(&self, level: MemoryLevel) {
         let usage = self.memory.usage();
         let connections = ConnectionCounts::of(self.clients.borrow().values().map(|c| c.state()));
@@ -73,6 +98,15 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn large_bodies_are_refused_first() {
+        let (small, large, unknown) = (Some(0), Some(WHOLE_BODY_LIMIT as u64 + 1), None);
+        let accepted = |level| [small, large, unknown].map(|length| accepts(level, length));
+        assert_eq!(accepted(MemoryLevel::Elevated), [true, true, true]);
+        assert_eq!(accepted(MemoryLevel::High), [true, false, false]);
+        assert_eq!(accepted(MemoryLevel::Critical), [false, false, false]);
+    }
+
     #[test]
     fn connections_are_counted_by_what_they_do() {
         let states =
--- a/crates/http/src/front/mod.rs
+++ b/crates/http/src/front/mod.rs
@@ -22,6 +22,7 @@
 use birchswitch_site::Names;
 use client::Client;
 use events::{EventSummary, Reason};
+use eviction::Activity;
 use finchvale::Effect;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -112,6 +113,9 @@
                 let now = interval.tick().await;
                 checking.clients.borrow().values().for_each(|c| c.check_timeouts(now));
                 checking.check_memory();
+                if checking.is_memory_short() {
+                    checking.evict_unproductive_clients();
+                }
                 if now >= next_summary {
                     next_summary = now + SUMMARY_INTERVAL;
                     checking.log_events();
@@ -171,11 +175,22 @@
         }
     }
 
+    /// Evicts clients of which there is more to free than a slot.
+    fn evict_unproductive_clients(&self) {
+        self.evict(|activity| !matches!(activity, Activity::New(_)));
+    }
+
+    /// Evicts clients to free slots.
     fn evict_clients(&self) {
+        self.evict(|_| true);
+    }
+
+    fn evict(&self, includes: impl Fn(Activity) -> bool) {
         let now = Instant::now();
         let clients = self.clients.borrow();
-        let activities =
-            clients.values().filter_map(|client| Some((client, client.evictable_activity(now)?)));
+        let activities = clients
+            .values()
+            .filter_map(|client| Some((client, client.evictable_activity(now).filter(|a| includes(*a))?)));
         let count = self.max_connections.div_ceil(EVICTION_DIVISOR) as usize;
         eviction::select(activities, count).into_iter().for_each(|client| {
             self.events.record(Reason::Evicted, b"");
@@ -183,7 +198,9 @@
         });
     }
 
+    /// Whether connections are to be closed as soon as nothing is owed over them.
     fn slots_are_scarce(&self) -> bool {
-        self.slots.available_permits() < (self.max_connections / SCARCE_DIVISOR) as usize
+        self.is_memory_short()
+            || self.slots.available_permits() < (self.max_connections / SCARCE_DIVISOR) as usize
     }
 }
--- a/crates/http/src/front/response.rs
+++ b/crates/http/src/front/response.rs
@@ -2,6 +2,7 @@
 
 use super::client::Client;
 use super::events::Reason;
+use super::memory::NO_MEMORY;
 use super::request_head::{memory_to_reserve, strip_hop_by_hop, RequestHead};
 use super::{HttpFrontend, ShutdownPhase};
 use crate::body::{self, BodyError, BodyPrefix, RequestBody, ResponseBody, Upload};
@@ -11,7 +12,7 @@
 use birchswitch_host::{socket, PendingRequest, Request as Submission};
 use bytes::Bytes;
 use finchvale::Time;
-use hyper::body::Incoming as Body;
+use hyper::body::{Body as _, Incoming as Body};
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use std::rc::Rc;
@@ -55,9 +56,11 @@
             }
         };
         client.set_request_id(&head.id);
-        let Some(_head_memory) = self.budget.reserve(memory_to_reserve(&parts.headers)) else {
+        let has_memory = self.has_memory_for(body.size_hint().exact());
+        let head_memory = || self.budget.reserve(memory_to_reserve(&parts.headers));
+        let Some(_head_memory) = has_memory.then(head_memory).flatten() else {
             client.record(Reason::NoMemory);
-            return rejection_response(StatusCode::SERVICE_UNAVAILABLE, "too much memory is in use");
+            return rejection_response(NO_MEMORY.0, NO_MEMORY.1);
         };
         client.receive_body();
         let prefix = match self.read_body(client, &mut body, received).await {
--- a/crates/memory/src/level.rs
+++ b/crates/memory/src/level.rs
@@ -38,8 +38,8 @@
 }
 
 /// Levels begin at these parts, in percent, of the memory between what the process needs at its start and its limit.
-const ELEVATED_PERCENT: usize = 60;
-const HIGH_PERCENT: usize = 70;
+const ELEVATED_PERCENT: usize = 50;
+const HIGH_PERCENT: usize = 75;
 const CRITICAL_PERCENT: usize = 80;
 /// A level ends this far, in percent of the same memory, below its beginning, so that it does not flap.
 const HYSTERESIS_PERCENT: usize = 3;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -116,7 +116,8 @@
     // for idle connections.
     let MemoryPlan { requests, bodies } = MemoryPlan::new(memory);
     let memory_monitor = Rc::new(MemoryMonitor::new(config.memory));
-    let (request_bodies, response_bodies) = (BufferBudget::new(bodies), BufferBudget::new(bodies));
+    let body_budget = || BufferBudget::with_pressure(bodies, memory_monitor.pressure().clone());
+    let (request_bodies, response_bodies) = (body_budget(), body_budget());
     let clients = ((sockets - RESERVED_SOCKETS) / 2).min(requests);
     let limits = UpstreamLimits {
         connections: sockets - RESERVED_SOCKETS - clients,
