Buffers of connections come from mappings of their own, a few of which are reused

Mapping each buffer by the C library costs a system call or two for every 8 KiB that passes, and its header reaches into a third page. A small global allocator maps blocks of 4 to 12 KiB and keeps 64 freed ones for the next. Everything else comes from the system's allocator as before; beyond 12 KiB that one maps too.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -33,6 +33,9 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::Instant;
 
+#[global_allocator]
+static ALLOCATOR: birchswitch_memory::BlockAllocator = birchswitch_memory::BlockAllocator;
+
 /// Clients may still open connections for this long after a signal.
 const LEAVE_DELAY: Duration = Duration::from_millis(500);
 /// After that no connection is accepted, and requests that have arrived on open ones are still read for this long.
@@ -72,7 +75,7 @@
 }
 
 fn main() -> ExitCode {
-    birchswitch_memory::map_large_blocks();
+    birchswitch_memory::map_large_allocations();
     let command = Arguments::parse().command;
     let run = || -> Result<ExitCode, Box<dyn Error>> {
         if let Some(Command::Lease(lease)) = command {
