--- a/crates/host/src/pool.rs
+++ b/crates/host/src/pool.rs
@@ -1,11 +1,11 @@
 //! Connection pool for any protocol. It limits the connections of the process, keeps idle ones for reuse, and
 //! drops those whose server restarted, moved, drains or is gone.
 
+use crate::socket::limit_unsent;
 use birchswitch_figures::Metrics;
 use birchswitch_membership::Target;
 use finchvale::{Outcome, ServerId, ServerState};
 use rustc_hash::FxHashMap;
-use socket2::SockRef;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::io;
 use std::net::SocketAddr;
@@ -18,9 +18,6 @@
 
 /// Interval between checks of idle connections.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Maximum number of bytes that the system holds for a server beyond what it has sent: what a protocol has written has
-/// nearly reached the server's machine.
-const MAX_UNSENT_BYTES: u32 = 128 << 10;
 
 /// Limits on connections to servers.
 #[derive(Clone, Copy, Debug)]
@@ -167,7 +164,8 @@
             return Err(Outcome::NotSent);
         }
         let _ = stream.set_nodelay(true);
-        let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
+        // What a protocol has written has nearly reached the server's machine.
+        limit_unsent(&stream);
         Ok(NewConnection { stream, slot, generation })
     }
 
--- a/crates/host/src/socket.rs
+++ b/crates/host/src/socket.rs
@@ -14,9 +14,17 @@
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// How long to read and discard remaining data before closing.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum number of bytes that the system holds for a peer beyond what it has sent.
+const MAX_UNSENT_BYTES: u32 = 128 << 10;
 /// Maximum amount of data discarded before closing.
 const MAX_LINGER_BYTES: usize = 256 << 10;
 
+/// Limits the bytes that the system holds for a peer beyond what it has sent. Without the limit it takes megabytes for a
+/// peer that reads slowly.
+pub fn limit_unsent(socket: &TcpStream) {
+    let _ = SockRef::from(socket).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
+}
+
 /// Returns whether a socket is open and has no unread data. Queries the operating system, since the runtime's
 /// readiness may be out of date.
 pub fn is_open_and_idle(socket: &TcpStream) -> bool {
--- a/crates/http/src/front/connection.rs
+++ b/crates/http/src/front/connection.rs
@@ -31,6 +31,7 @@
     /// Starts serving an accepted connection.
     pub(super) fn start_connection(self: Rc<Self>, stream: TcpStream, permit: OwnedSemaphorePermit) {
         let _ = stream.set_nodelay(true);
+        socket::limit_unsent(&stream);
         let client = Client::new(stream, self.events.clone());
         let id = self.next_client.replace(self.next_client.get() + 1);
         // Registered before its task runs: a burst may take all slots within one turn of the event loop, and only
