--- a/crates/memory/src/blocks.rs
+++ b/crates/memory/src/blocks.rs
@@ -1,6 +1,6 @@
 //! An allocator that keeps buffers out of the heap.
 //!
-//! Connections hold buffers and tasks of 4 to 12 KiB, most of which are empty most of the time. In a heap they leave gaps between
+//! Connections hold buffers of 8 to 12 KiB, most of which are empty most of the time. In a heap they leave gaps between
 //! small long-lived allocations, and an empty buffer is resident because others have written to its pages. Here each buffer
 //! is a mapping of its own: pages that nothing was written to take no memory, and freed ones go back to the system, except
 //! for a few that the next buffers use. Everything else comes from the system's allocator.
@@ -15,7 +15,7 @@
 /// Size in bytes of a mapping.
 pub const BLOCK_SIZE: usize = 12 << 10;
 /// Allocations from this size in bytes on, up to [`BLOCK_SIZE`], get a mapping each.
-const MIN_BLOCK: usize = 4 << 10;
+const MIN_BLOCK: usize = 8 << 10;
 /// Largest alignment in bytes that every mapping has.
 const MAX_ALIGN: usize = 4 << 10;
 /// Number of freed mappings that are kept for the next buffers.
